--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Commands of daisyfold. Go alone is enough for test, demo, bench, scenarios and
+# footprint; generate also needs protoc, ogen, protoc-gen-go and protoc-gen-twirp.
+SEED ?= 1
+NAME ?=
+BIN  := bin
+GOLANGCI_VERSION := v2.15.0
+
+.PHONY: build test lint generate demo bench scenarios footprint clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test -race -timeout 8m ./...
+
+lint:
+	@test -z "$$(gofmt -l . | tee /dev/stderr)"
+	go vet ./...
+	golangci-lint run
+
+generate:
+	ogen --config api/ogen.yml --target internal/api --package api --clean api/openapi.yaml
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative internal/rpc/peer/peer.proto
+
+demo: build
+	$(BIN)/daisyfold-load demo --seed $(SEED) --bin $(BIN)
+
+bench: build
+	$(BIN)/daisyfold-bench --seed $(SEED)
+
+scenarios: build
+	$(BIN)/daisyfold-load scenarios --seed $(SEED) --bin $(BIN) --name "$(NAME)"
+
+footprint: build
+	$(BIN)/daisyfold-load footprint --seed $(SEED) --bin $(BIN)
+
+clean:
+	rm -rf $(BIN)
