Separate the read position of a renewal from its acknowledgement

Change: RenewRequest.SinceSeq beside AckSeq. Measured: builds; no behaviour yet. Conclusion: the planner can hold back acknowledgements without polling in a loop.

--- a/internal/platform/workerlink/workerlink.go
+++ b/internal/platform/workerlink/workerlink.go
@@ -102,16 +102,18 @@
 }
 
 // RenewRequest extends the worker lease and the leases of confirmed tasks by
-// TTLMS, acknowledges events up to AckSeq, and waits up to WaitMS for an event
-// after AckSeq.
+// TTLMS and waits up to WaitMS for an event after SinceSeq. AckSeq acknowledges
+// events up to it: the worker then forgets the final tasks among them. The two
+// differ because a final state is acknowledged only after it was recorded.
 type RenewRequest struct {
-	Token  model.Token `json:"token"`
-	TTLMS  int64       `json:"ttlMS"`
-	AckSeq uint64      `json:"ackSeq"`
-	WaitMS int64       `json:"waitMS"`
+	Token    model.Token `json:"token"`
+	TTLMS    int64       `json:"ttlMS"`
+	SinceSeq uint64      `json:"sinceSeq"`
+	AckSeq   uint64      `json:"ackSeq"`
+	WaitMS   int64       `json:"waitMS"`
 }
 
-// RenewAnswer holds the events after AckSeq in order.
+// RenewAnswer holds the events after SinceSeq in order.
 type RenewAnswer struct {
 	Events []Event `json:"events,omitempty"`
 }
