--- /dev/null
+++ b/internal/jobs/home.go
@@ -0,0 +1,89 @@
+package jobs
+
+import (
+	"github.com/daisyfold/daisyfold/internal/apierror"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/partition"
+)
+
+// candidate is a shard that could run a job, with its load relative to its size.
+type candidate struct {
+	id    model.ShardID
+	score float64
+}
+
+// localPreference is subtracted from the score of shards in the own zone, so that
+// nearly equal zones do not exchange jobs. 0.05 is one twentieth of a shard's size.
+const localPreference = 0.05
+
+// chooseHome picks the least loaded shard that can run the job, counting waiting
+// and active work, among zones in service with live hosts.
+func (s *Service) chooseHome(spec *model.JobSpec) (model.ShardID, error) {
+	var best *candidate
+	var fallback *model.ShardID
+	for _, sh := range partition.Split(s.Board.Hosts.Get().Workers) {
+		if spec.Zone != "" && sh.ID.Zone != spec.Zone {
+			continue
+		}
+		if s.Feasible(spec, sh.Workers) != nil {
+			continue
+		}
+		id := sh.ID
+		fallback = &id
+		if !s.usable(sh.ID.Zone) {
+			continue
+		}
+		c := candidate{id: sh.ID, score: s.score(sh)}
+		if best == nil || c.score < best.score {
+			best = &c
+		}
+	}
+	if best != nil {
+		return best.id, nil
+	}
+	if fallback != nil {
+		// The job waits in a zone that is out until it returns or another takes it.
+		return *fallback, nil
+	}
+	return model.ShardID{}, apierror.NotRun(apierror.CodeImpossible, "no shard can run the job")
+}
+
+func (s *Service) usable(z model.Zone) bool {
+	zone := s.Board.Config.Get().Zone(z)
+	if zone == nil || !zone.InService {
+		return false
+	}
+	for _, m := range s.Board.Members.List() {
+		if m.Zone == z && m.Alive && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) score(sh partition.Shard) float64 {
+	total := 0
+	for i := range sh.Workers {
+		total += sh.Workers[i].Capacity.Accelerators
+	}
+	score := float64(s.Table.Load(sh.ID)) / float64(max(total, 1))
+	if sh.ID.Zone == s.Zone {
+		score -= localPreference
+	}
+	return score
+}
+
+// WaitingOf counts an organisation's waiting jobs.
+func (t *Table) WaitingOf(org model.Organisation) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n := 0
+	for _, index := range t.waiting {
+		for key := range index {
+			if key.Organisation == org {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -96,6 +96,9 @@
 	Reason   string       `json:"reason"`
 	ServedMS int64        `json:"servedMS,omitempty"`
 	Final    bool         `json:"final,omitempty"`
+	// TaskFailed is set when a task of the job failed by itself, as opposed to a
+	// lost worker or a preemption.
+	TaskFailed bool `json:"taskFailed,omitempty"`
 }
 
 // JobFinished is the end of a job whose every task finished.
