--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,28 @@
+package config
+
+import (
+	"github.com/daisyfold/daisyfold/internal/finding"
+	"github.com/daisyfold/daisyfold/internal/jsontext"
+)
+
+// Parse reads and checks the operators' text. File is used in findings only. When
+// there are findings the text holds only the values without one, or is nil when the
+// text could not be read at all.
+func Parse(file string, data []byte) (*Text, finding.List) {
+	doc := jsontext.Check(file, data, Schema)
+	if !doc.Readable() {
+		doc.Findings.Sort()
+		return nil, doc.Findings
+	}
+	text := &Text{}
+	if err := doc.Decode(text); err != nil {
+		doc.Add("", "the text cannot be read: %v", err)
+		return nil, doc.Findings
+	}
+	c := &checker{doc: doc, text: text}
+	for _, r := range rules {
+		r.check(c)
+	}
+	doc.Findings.Sort()
+	return text, doc.Findings
+}
