--- /dev/null
+++ b/internal/emulator/hosts.go
@@ -0,0 +1,110 @@
+package emulator
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/platform/hostlist"
+)
+
+// hostList is the lagging list of hosts, workers and targets.
+type hostList struct {
+	lag time.Duration
+	// current returns the true workers and targets.
+	current func() ([]model.Worker, []model.Target)
+
+	mu        sync.Mutex
+	hosts     []hostlist.EntryHost
+	published hostlist.List
+	down      bool
+}
+
+// change records a change of the platform; it shows after the lag.
+func (h *hostList) change() {
+	time.AfterFunc(h.lag, h.publish)
+}
+
+// publish makes the list show the present state.
+func (h *hostList) publish() {
+	workers, targets := h.current()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.published = hostlist.List{
+		Version: h.published.Version + 1,
+		Hosts:   slices.Clone(h.hosts),
+		Workers: workers,
+		Targets: targets,
+	}
+}
+
+// setHost adds, changes or removes an entry host.
+func (h *hostList) setHost(host hostlist.EntryHost, gone bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	same := func(other hostlist.EntryHost) bool { return other.ID == host.ID }
+	h.hosts = slices.DeleteFunc(h.hosts, same)
+	if !gone {
+		h.hosts = append(h.hosts, host)
+	}
+}
+
+func (h *hostList) setDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = down
+}
+
+func (h *hostList) get() (hostlist.List, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.published, h.down
+}
+
+// serve answers GET /hosts and GET /via/{authority}/hosts. The second gives the
+// workers and targets of path mode addresses at another authority, so that a
+// scenario can put a proxy between one daemon and them.
+func (h *hostList) serve(base string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		list, down := h.get()
+		if down {
+			http.Error(rw, "the host list is down", http.StatusServiceUnavailable)
+			return
+		}
+		tag := strconv.Quote(strconv.FormatInt(list.Version, 10))
+		rw.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			rw.WriteHeader(http.StatusNotModified)
+			return
+		}
+		if via := r.PathValue("authority"); via != "" {
+			list = rebase(list, base, "http://"+via)
+		}
+		writeJSON(rw, http.StatusOK, list)
+	}
+}
+
+// rebase replaces the base URL of the workers and targets.
+func rebase(list hostlist.List, from, to string) hostlist.List {
+	list.Workers = slices.Clone(list.Workers)
+	for i := range list.Workers {
+		list.Workers[i].Address = replaceBase(list.Workers[i].Address, from, to)
+	}
+	list.Targets = slices.Clone(list.Targets)
+	for i := range list.Targets {
+		list.Targets[i].Address = replaceBase(list.Targets[i].Address, from, to)
+	}
+	return list
+}
+
+func replaceBase(address, from, to string) string {
+	rest, found := strings.CutPrefix(address, from)
+	if !found {
+		return address
+	}
+	return to + rest
+}
--- /dev/null
+++ b/internal/emulator/listen.go
@@ -0,0 +1,114 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// shutdownTimeout bounds the wait for open calls when the emulator ends.
+const shutdownTimeout = time.Second
+
+// Serve serves the platform on the listener, and each target on a port of its own
+// if the deployment says so, until the context ends.
+func Serve(ctx context.Context, d Deployment, listener net.Listener) error {
+	e := New(d, "http://"+listener.Addr().String())
+	servers := map[*http.Server]net.Listener{e.Server(): listener}
+	if d.TargetPorts {
+		if err := e.listenTargets(servers); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(serveAll(ctx, servers))
+}
+
+// serveAll runs the servers until the context ends or one of them fails.
+func serveAll(ctx context.Context, servers map[*http.Server]net.Listener) error {
+	failed := make(chan error, len(servers))
+	for server, listener := range servers {
+		go func() { failed <- server.Serve(listener) }()
+	}
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	shutdown(servers)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func shutdown(servers map[*http.Server]net.Listener) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for server := range servers {
+		wait.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// listenTargets opens a port for each target and publishes the addresses.
+func (e *Emulator) listenTargets(servers map[*http.Server]net.Listener) error {
+	for _, t := range e.targets {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		t.info.Address = "http://" + listener.Addr().String()
+		limited := &limitedListener{Listener: listener, limit: int64(t.info.Connections)}
+		mux := http.NewServeMux()
+		mux.HandleFunc("POST /call", t.serve)
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+		servers[server] = limited
+	}
+	e.list.publish()
+	return nil
+}
+
+// limitedListener closes connections beyond its limit at once.
+type limitedListener struct {
+	net.Listener
+	limit int64
+	open  atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &limitedConn{Conn: conn, listener: l}, nil
+		}
+		l.open.Add(-1)
+		_ = conn.Close()
+	}
+}
+
+// limitedConn counts itself as open until it is closed.
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+	once     sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
