Let the emulator's renewals read past unacknowledged events

Cause: a planner that holds an acknowledgement back would be answered at once on each renewal. Change: the long poll answers with the events after SinceSeq. Measured: go test ./internal/emulator passes. Conclusion: matches the worker messages.

--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -150,7 +150,7 @@
 	return nil
 }
 
-// poll returns the events after the acknowledged one, or the channel to wait on. A
+// poll returns the events after SinceSeq, or the channel to wait on. A
 // usage report alone does not end the wait; the last poll carries it.
 func (w *worker) poll(r workerlink.RenewRequest, last bool) ([]workerlink.Event, chan struct{}, error) {
 	w.mu.Lock()
@@ -159,12 +159,23 @@
 		return nil, nil, err
 	}
 	urgent := func(e workerlink.Event) bool { return e.Task.State != workerlink.TaskRunning }
-	if len(w.events) > 0 && (last || slices.ContainsFunc(w.events, urgent)) {
-		return slices.Clone(w.events), nil, nil
+	fresh := w.eventsAfter(r.SinceSeq)
+	if len(fresh) > 0 && (last || slices.ContainsFunc(fresh, urgent)) {
+		return slices.Clone(fresh), nil, nil
 	}
 	return nil, w.changed, nil
 }
 
+// eventsAfter returns the kept events with a higher number. The lock is held.
+func (w *worker) eventsAfter(seq uint64) []workerlink.Event {
+	for i := range w.events {
+		if w.events[i].Seq > seq {
+			return w.events[i:]
+		}
+	}
+	return nil
+}
+
 // Release implements workerlink.Worker.
 func (w *worker) Release(_ context.Context, r workerlink.ReleaseRequest) error {
 	w.mu.Lock()
