--- /dev/null
+++ b/internal/membership/peers.go
@@ -0,0 +1,209 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisyfold/daisyfold/internal/blackboard"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/rpc/peer"
+)
+
+const (
+	// maxLearned bounds the hosts that are known only from their own heartbeats.
+	maxLearned = 1024
+	// forgetLearned is how long a silent learned host stays in the table.
+	forgetLearned = time.Hour
+)
+
+// Report is what a peer said about itself, with times that hold on this host's
+// monotonic clock whatever the network's delay was.
+type Report struct {
+	Host model.HostID
+	Zone model.Zone
+	// At is when the request that the report answers was sent; the report was
+	// true at some moment after it.
+	At            time.Time
+	ConfigVersion int64
+	LogReachable  bool
+	// LogAt is a moment not later than the peer's last reading of the config
+	// stream up to its head; zero if there was none.
+	LogAt time.Time
+	// Pending are the IDs of the pending zone changes that the peer stores.
+	Pending []string
+	// Called is set for a report that came as a request, whose delay is unknown.
+	Called bool
+}
+
+// peerState is what this host knows of one peer. Membership's lock guards it.
+type peerState struct {
+	Peer
+	client      peer.Peer
+	learned     bool
+	incarnation int64
+	leaving     bool
+	listLeaving bool // the platform's host list says that it is leaving
+	wantAddress bool // the peer asked for this host's address
+	inFlight    bool
+	lastSeen    time.Time // last sign of life
+	report      Report
+	answeredAt  time.Time // when the last direct answer arrived
+	calledAt    time.Time // when it last called this host
+	sharedAt    time.Time // when contacts were last shared with it
+}
+
+func (m *Membership) silence(p *peerState) time.Duration {
+	if p.Zone == m.opts.Self.Zone {
+		return zoneSilence
+	}
+	return crossSilence
+}
+
+// alive must be called with the lock held.
+func (m *Membership) alive(p *peerState, now time.Time) bool {
+	return !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < m.silence(p)
+}
+
+// accepts reports whether a report belongs to the peer's current process. A lower
+// incarnation is a late message of the previous process, unless the known process
+// is silent: then the wall clock that numbers incarnations was set back.
+func (m *Membership) accepts(p *peerState, incarnation int64, now time.Time) bool {
+	if incarnation == p.incarnation {
+		return true
+	}
+	if incarnation < p.incarnation && m.alive(p, now) {
+		return false
+	}
+	p.incarnation = incarnation
+	p.report = Report{}
+	p.leaving = false
+	return true
+}
+
+// absorb stores a report. sent is when the answered request was sent, or the time
+// of arrival for a request.
+func (m *Membership) absorb(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
+	report := Report{
+		Host: p.Host, Zone: p.Zone, At: sent, Called: called,
+		ConfigVersion: r.ConfigVersion, LogReachable: r.LogReachable,
+	}
+	if r.LogAgeMs >= 0 {
+		report.LogAt = sent.Add(-time.Duration(r.LogAgeMs) * time.Millisecond)
+	}
+	for _, c := range r.Pending {
+		report.Pending = append(report.Pending, c.Id)
+	}
+	// The observer hears of newer versions and pending changes first, so that no
+	// evidence rests on a report whose content is not stored yet.
+	m.observer.Observe(report, r.Pending)
+	now := m.opts.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accepts(p, r.Incarnation, now) {
+		return false
+	}
+	p.leaving = p.leaving || r.Leaving // a process never stops leaving
+	p.lastSeen = later(p.lastSeen, sent)
+	p.wantAddress = p.wantAddress || r.WantAddress
+	if called {
+		p.calledAt = now
+		return true
+	}
+	p.answeredAt = now
+	if sent.After(p.report.At) {
+		p.report = report
+	}
+	return true
+}
+
+// absorbContacts stores what a host of the own zone shared. The contacts' ages are
+// counted from the moment at which the request was sent.
+func (m *Membership) absorbContacts(r *peer.HostReport, sent time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range r.Contacts {
+		p := m.peers[model.HostID(c.Host)]
+		if p == nil {
+			continue
+		}
+		at := sent.Add(-time.Duration(c.AgeMs) * time.Millisecond)
+		p.lastSeen = later(p.lastSeen, at)
+		if c.Called || !at.After(p.report.At) {
+			continue
+		}
+		// The sharer passes on only reports of versions up to its own, and its own
+		// version was observed with its report.
+		p.report.Host, p.report.Zone, p.report.At = p.Host, p.Zone, at
+		p.report.LogReachable = c.LogReachable
+		if c.LogAgeMs >= 0 {
+			logAt := sent.Add(-time.Duration(c.LogAgeMs) * time.Millisecond)
+			p.report.LogAt = later(p.report.LogAt, logAt)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// learn adds a host that is not in the settings and sent its address.
+func (m *Membership) learn(r *peer.HostReport) *peerState {
+	if len(m.peers) >= maxLearned {
+		return nil
+	}
+	p := &peerState{learned: true, client: m.opts.Dial(r.Address), Peer: Peer{
+		Host: model.HostID(r.Host), Zone: model.Zone(r.Zone), Address: r.Address,
+	}}
+	m.peers[p.Host] = p
+	m.opts.Logger.Info("membership: learned a host from its heartbeat",
+		zap.String("host", r.Host), zap.String("zone", r.Zone))
+	return p
+}
+
+// updateTable writes the member table when it changed.
+func (m *Membership) updateTable() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.readHostList()
+	now := m.opts.Now()
+	all := []blackboard.Member{{
+		Host: m.opts.Self.Host, Zone: m.opts.Self.Zone, Alive: true, Leaving: m.leaving,
+	}}
+	for id, p := range m.peers {
+		if p.learned && now.Sub(p.lastSeen) > forgetLearned {
+			delete(m.peers, id)
+			continue
+		}
+		all = append(all, blackboard.Member{
+			Host: p.Host, Zone: p.Zone, Alive: m.alive(p, now),
+			Leaving: p.leaving || p.listLeaving,
+		})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Host < all[j].Host })
+	if slices.Equal(all, m.table) {
+		return
+	}
+	m.table = all
+	m.opts.Members.Put(all)
+}
+
+func (m *Membership) readHostList() {
+	if m.opts.Hosts == nil {
+		return
+	}
+	list := m.opts.Hosts.Get()
+	if list == nil {
+		return
+	}
+	for _, h := range list.Hosts {
+		if p := m.peers[h.ID]; p != nil {
+			p.listLeaving = h.Leaving
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/transport.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/rpc/peer"
+)
+
+const (
+	dialTimeout = time.Second
+	// maxAnswerBytes bounds a peer's answer; a configuration text is the largest.
+	maxAnswerBytes = 1 << 20
+)
+
+// DialHTTP returns a client that speaks unencrypted HTTP/2: its compressed headers
+// are a tenth of those of HTTP/1.1 and would otherwise be most of a heartbeat.
+func DialHTTP(address string) peer.Peer {
+	return dialWith(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+func dialWith(address string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) peer.Peer {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	t := &http.Transport{
+		DialContext: dial, Protocols: protocols, DisableCompression: true,
+	}
+	return peer.NewPeerProtobufClient(address, &http.Client{Transport: &freshTransport{t}})
+}
+
+// freshTransport closes the peer's connection after a failed call. HTTP/2 would
+// reuse a silent connection while new ones work. Each peer has its own transport.
+type freshTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *freshTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	req.Header.Set("User-Agent", "")
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	resp.Body = &boundedBody{io.LimitReader(resp.Body, maxAnswerBytes), resp.Body}
+	return resp, nil
+}
+
+type boundedBody struct {
+	io.Reader
+	io.Closer
+}
