--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -1,5 +1,5 @@
-// Package planner decides for one shard what to start and what to preempt. Plan is
-// a pure function: a snapshot of state and time goes in, a plan with reasons comes
+// Package planner decides for one shard what to start and what to preempt. Decide
+// is a pure function: a snapshot of state and time goes in, a plan with reasons comes
 // out. Nothing else in daisyfold chooses places or victims.
 package planner
 
@@ -22,7 +22,7 @@
 	Weight int
 }
 
-// Snapshot is the input of Plan. Plan does not change it.
+// Snapshot is the input of Decide, which does not change it.
 type Snapshot struct {
 	Now time.Time
 	// Shard is the shard planned for.
@@ -35,6 +35,12 @@
 	Running []model.Placement
 	// Stopping are the running jobs that are being preempted already.
 	Stopping map[model.JobKey]bool
+	// Pinned are the running jobs that must not be preempted, because they are
+	// non-repeatable. They are placed where no guarantee needs the room.
+	Pinned map[model.JobKey]bool
+	// Served holds the run time of earlier attempts of running jobs that a
+	// checkpoint kept. A missing entry means none.
+	Served map[model.JobKey]time.Duration
 	// Waiting are the jobs whose home is the shard, in order of acceptance.
 	Waiting []*model.Job
 	// Guarantees are those assigned to the shard.
@@ -56,7 +62,7 @@
 	Code model.ReasonCode
 }
 
-// Plan is the output of Plan. The starts fit together with what runs; a job whose
+// Plan is the output of Decide. The starts fit together with what runs; a job whose
 // place must first be cleared appears in Preempt and starts in a later plan.
 type Plan struct {
 	Starts  []model.Placement
--- /dev/null
+++ b/internal/queue/waiting.go
@@ -0,0 +1,65 @@
+package queue
+
+import (
+	"slices"
+
+	"github.com/daisyfold/daisyfold/internal/model"
+)
+
+// Waiting is a table of waiting jobs in order of acceptance. A cancellation is one
+// map lookup. It is not safe for concurrent use.
+type Waiting struct {
+	index map[model.JobKey]int
+	jobs  []*model.Job // nil where a job was removed
+}
+
+// Add appends a job and reports whether it is new.
+func (w *Waiting) Add(j *model.Job) bool {
+	if w.index == nil {
+		w.index = make(map[model.JobKey]int)
+	}
+	if _, ok := w.index[j.Spec.Key]; ok {
+		return false
+	}
+	w.index[j.Spec.Key] = len(w.jobs)
+	w.jobs = append(w.jobs, j)
+	return true
+}
+
+// Remove takes a job out, because it starts or is cancelled, and reports whether it
+// was waiting.
+func (w *Waiting) Remove(key model.JobKey) bool {
+	i, ok := w.index[key]
+	if !ok {
+		return false
+	}
+	delete(w.index, key)
+	w.jobs[i] = nil
+	if len(w.jobs) > 2*len(w.index)+64 {
+		w.compact()
+	}
+	return true
+}
+
+// compact drops removed entries once they outnumber the jobs, which keeps the cost of
+// a removal constant on average.
+func (w *Waiting) compact() {
+	w.jobs = slices.DeleteFunc(w.jobs, func(j *model.Job) bool { return j == nil })
+	for i, j := range w.jobs {
+		w.index[j.Spec.Key] = i
+	}
+}
+
+// Len returns the number of waiting jobs.
+func (w *Waiting) Len() int { return len(w.index) }
+
+// Jobs returns the waiting jobs in order of acceptance.
+func (w *Waiting) Jobs() []*model.Job {
+	out := make([]*model.Job, 0, len(w.index))
+	for _, j := range w.jobs {
+		if j != nil {
+			out = append(out, j)
+		}
+	}
+	return out
+}
