Add the shard controllers

Cause: plans have to become running gangs, and a dead planner's work has to be taken over. Change: package shard with worker links, reconciliation of tasks with the jobs table, gang start, withdrawal, planning and moves between shards; the copier and feasibility interfaces follow the merged packages.

--- a/internal/jobs/home.go
+++ b/internal/jobs/home.go
@@ -21,13 +21,7 @@
 func (s *Service) chooseHome(spec *model.JobSpec) (model.ShardID, error) {
 	var best *candidate
 	var fallback *model.ShardID
-	for _, sh := range partition.Split(s.Board.Hosts.Get().Workers) {
-		if spec.Zone != "" && sh.ID.Zone != spec.Zone {
-			continue
-		}
-		if s.Feasible(spec, sh.Workers) != nil {
-			continue
-		}
+	for _, sh := range s.limits.feasible(spec, s.Board.Hosts.Get()) {
 		id := sh.ID
 		fallback = &id
 		if !s.usable(sh.ID.Zone) {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -28,26 +28,32 @@
 // Copier stores records on other hosts while the log is down. stored is the number
 // of hosts that hold all of them.
 type Copier interface {
-	CopyToPeers(ctx context.Context, s journal.Stream, records []journal.Record, want int) (stored int)
+	CopyToPeers(ctx context.Context, records []journal.StreamRecord, want int) (stored int)
+}
+
+// Keeper holds this host's own records until they are in the log.
+type Keeper interface {
+	Store(records []journal.StreamRecord) bool
 }
 
 // Options configure a Service.
 type Options struct {
-	Host     model.HostID
-	Zone     model.Zone
-	Board    *blackboard.Board
-	Journal  journal.Journal
-	Table    *Table
-	Copier   Copier
-	Feasible func(spec *model.JobSpec, workers []model.Worker) error
-	NewID    func() string
-	Now      func() time.Time
-	Logger   *zap.Logger
+	Host    model.HostID
+	Zone    model.Zone
+	Board   *blackboard.Board
+	Journal journal.Journal
+	Table   *Table
+	Copier  Copier
+	Keeper  Keeper
+	NewID   func() string
+	Now     func() time.Time
+	Logger  *zap.Logger
 }
 
 // Service accepts, cancels and finds jobs.
 type Service struct {
 	Options
+	limits limits
 }
 
 // NewService returns a service over a table that the journal feeds.
@@ -122,7 +128,7 @@
 	if err := s.checkQuota(spec); err != nil {
 		return err
 	}
-	if err := s.Feasible(spec, list.Workers); err != nil {
+	if err := s.limits.check(spec, list); err != nil {
 		return apierror.NotRun(apierror.CodeImpossible, "the job can never run: %v", err)
 	}
 	return nil
@@ -170,12 +176,14 @@
 // acceptOnPeers copies the acceptance to other hosts. The record may also be in
 // the log already; readers ignore the second by its id.
 func (s *Service) acceptOnPeers(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
-	stored := s.Copier.CopyToPeers(ctx, journal.StreamJobs, []journal.Record{rec}, copiesWanted)
+	records := []journal.StreamRecord{{Stream: journal.StreamJobs, Record: rec}}
+	stored := s.Copier.CopyToPeers(ctx, records, copiesWanted)
 	if stored < copiesWanted {
 		return Accepted{}, apierror.Unknown(apierror.CodeLogUnavailable,
 			"the log is unavailable and only %d of %d copies were stored; repeat with the same id",
 			stored, copiesWanted)
 	}
+	s.Keeper.Store(records)
 	s.Table.ApplyProvisional(rec)
 	return Accepted{ID: spec.Key.ID, Durability: DurablePeers, State: model.JobWaiting}, nil
 }
--- /dev/null
+++ b/internal/shard/link.go
@@ -0,0 +1,278 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+)
+
+// link is the planner's connection to one worker: its lease, its tasks as last
+// reported, and its record of successful starts.
+type link struct {
+	worker  model.Worker
+	client  workerlink.Worker
+	host    model.HostID
+	changed func()
+	slots   chan struct{} // bounds concurrent acquisitions of the shard
+	now     func() time.Time
+
+	mu    sync.Mutex
+	held  bool
+	token model.Token
+	// renewEnd is when the last renewal was answered or given up. The worker may
+	// have received it until then, so its leases last up to leaseTTL longer.
+	renewEnd time.Time
+	// failing is when calls began to fail, or zero while they succeed.
+	failing time.Time
+	since   uint64
+	tasks   map[model.TaskID]workerlink.Task
+	// unrecorded holds the event numbers of final tasks that the journal does
+	// not cover yet; they must not be acknowledged.
+	unrecorded map[model.TaskID]uint64
+	health     startHealth
+}
+
+func newLink(w model.Worker, c workerlink.Worker, host model.HostID, now func() time.Time, slots chan struct{}, changed func()) *link {
+	return &link{
+		worker: w, client: c, host: host, now: now, slots: slots, changed: changed,
+		tasks:      map[model.TaskID]workerlink.Task{},
+		unrecorded: map[model.TaskID]uint64{},
+	}
+}
+
+// run acquires the worker and renews until the context ends.
+func (l *link) run(ctx context.Context) {
+	wait := retryMin
+	for ctx.Err() == nil {
+		err := l.step(ctx)
+		if err == nil {
+			wait = retryMin
+			continue
+		}
+		pause := wait
+		wait = min(2*wait, retryMax)
+		if fenced(err) {
+			l.drop()
+			pause = fencedMin + rand.N(fencedSpread)
+		}
+		l.noteFailure()
+		sleep(ctx, pause)
+	}
+}
+
+// noteFailure records that calls fail. After lostAfter the link stops renewing:
+// it acquires instead, which does not extend the leases of tasks, so the tasks of
+// a worker that only answers are certain to end.
+func (l *link) noteFailure() {
+	now := l.now()
+	l.mu.Lock()
+	if l.failing.IsZero() {
+		l.failing = now
+	}
+	lost := l.held && now.Sub(l.failing) > lostAfter
+	l.mu.Unlock()
+	if lost {
+		l.drop()
+	}
+}
+
+func (l *link) step(ctx context.Context) error {
+	l.mu.Lock()
+	held := l.held
+	l.mu.Unlock()
+	if !held {
+		return l.acquire(ctx)
+	}
+	return l.renew(ctx)
+}
+
+func (l *link) acquire(ctx context.Context) error {
+	select {
+	case l.slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-l.slots }()
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ans, err := l.client.Acquire(cctx, workerlink.AcquireRequest{
+		Holder: l.host, TTLMS: leaseTTL.Milliseconds(), Force: true,
+	})
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.held, l.token, l.since, l.failing = true, ans.Token, ans.Seq, time.Time{}
+	l.tasks = map[model.TaskID]workerlink.Task{}
+	l.unrecorded = map[model.TaskID]uint64{}
+	for _, t := range ans.Tasks {
+		l.note(t, 1)
+	}
+	l.mu.Unlock()
+	l.changed()
+	return nil
+}
+
+func (l *link) renew(ctx context.Context) error {
+	l.mu.Lock()
+	req := workerlink.RenewRequest{
+		Token: l.token, TTLMS: leaseTTL.Milliseconds(), WaitMS: renewWait.Milliseconds(),
+		SinceSeq: l.since, AckSeq: l.ackSeq(),
+	}
+	l.mu.Unlock()
+	cctx, cancel := context.WithTimeout(ctx, renewWait+renewMargin)
+	defer cancel()
+	ans, err := l.client.Renew(cctx, req)
+	l.mu.Lock()
+	l.renewEnd = l.now()
+	l.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.failing = time.Time{}
+	for _, e := range ans.Events {
+		l.note(e.Task, e.Seq)
+		l.since = max(l.since, e.Seq)
+	}
+	l.mu.Unlock()
+	if len(ans.Events) > 0 {
+		l.changed()
+	}
+	return nil
+}
+
+// note stores a task's state. The caller holds l.mu.
+func (l *link) note(t workerlink.Task, seq uint64) {
+	l.tasks[t.ID] = t
+	if t.State != workerlink.TaskRunning {
+		l.unrecorded[t.ID] = seq
+	}
+}
+
+// started adds the members of a start that the worker answered, because the event
+// of the renewal may arrive later and the gang would look incomplete until then.
+func (l *link) started(p *model.Placement, members []model.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range members {
+		id := model.TaskID{Job: p.Job, Attempt: p.Attempt, Index: m.Index}
+		if _, known := l.tasks[id]; known {
+			continue
+		}
+		l.tasks[id] = workerlink.Task{
+			ID: id, Member: m, State: workerlink.TaskRunning, GangSize: len(p.Members),
+		}
+	}
+}
+
+// ackSeq returns the last event number that may be forgotten. The caller holds l.mu.
+func (l *link) ackSeq() uint64 {
+	ack := l.since
+	for _, seq := range l.unrecorded {
+		ack = min(ack, seq-1)
+	}
+	return ack
+}
+
+// forget drops the final tasks of an attempt after the journal recorded its end.
+func (l *link) forget(job model.JobKey, attempt int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, t := range l.tasks {
+		if id.Job == job && id.Attempt == attempt && t.State != workerlink.TaskRunning {
+			delete(l.tasks, id)
+			delete(l.unrecorded, id)
+		}
+	}
+}
+
+// drop gives the worker up after another holder acquired it.
+func (l *link) drop() {
+	l.mu.Lock()
+	l.held = false
+	l.mu.Unlock()
+	l.changed()
+}
+
+// release hands the worker lease back so that the next planner need not wait.
+func (l *link) release(ctx context.Context) {
+	l.mu.Lock()
+	held, token := l.held, l.token
+	l.held = false
+	l.mu.Unlock()
+	if !held {
+		return
+	}
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_ = l.client.Release(cctx, workerlink.ReleaseRequest{Token: token})
+}
+
+// linkView is a consistent copy of a link's state.
+type linkView struct {
+	held     bool
+	token    model.Token
+	renewEnd time.Time
+	tasks    []workerlink.Task
+	health   model.WorkerHealth
+}
+
+func (l *link) view() linkView {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := linkView{held: l.held, token: l.token, renewEnd: l.renewEnd}
+	v.tasks = make([]workerlink.Task, 0, len(l.tasks))
+	for _, t := range l.tasks {
+		v.tasks = append(v.tasks, t)
+	}
+	v.health = l.healthLocked()
+	return v
+}
+
+func (l *link) healthLocked() model.WorkerHealth {
+	switch {
+	case !l.held:
+		return model.WorkerLost
+	case l.worker.Health == model.WorkerLeaving:
+		return model.WorkerLeaving
+	case l.health.onProbation():
+		return model.WorkerProbation
+	default:
+		return model.WorkerHealthy
+	}
+}
+
+func (l *link) setLeaving(leaving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.worker.Health = model.WorkerHealthy
+	if leaving {
+		l.worker.Health = model.WorkerLeaving
+	}
+}
+
+func (l *link) noteStart(ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.note(ok)
+}
+
+func fenced(err error) bool {
+	var we *workerlink.Error
+	return errors.As(err, &we) && we.Body.Code == workerlink.CodeFenced
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,212 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/jobs"
+	"github.com/daisyfold/daisyfold/internal/journal"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/planner"
+	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+)
+
+// plan asks the planner and starts what it decided.
+func (s *Shard) plan(o *observation) {
+	ops := s.opsCopy()
+	waiting, foreign := s.candidates(ops)
+	if ok, why := s.planAllowed(o); !ok {
+		s.noteWhy(waiting, why)
+		return
+	}
+	snap := s.snapshot(o, ops, waiting)
+	result := planner.Decide(snap)
+	s.Jobs.AddReasons(result.Reasons)
+	for _, p := range result.Starts {
+		s.carryOut(p, foreign)
+	}
+	for _, pre := range result.Preempt {
+		s.preempt(pre)
+	}
+}
+
+// planAllowed checks what must hold before anything may start.
+func (s *Shard) planAllowed(o *observation) (bool, string) {
+	if !o.majority() {
+		return false, fmt.Sprintf("only %d of %d workers are held", o.held, len(o.views))
+	}
+	return s.mayStart()
+}
+
+// noteWhy records why nothing starts, once for each change of the cause.
+func (s *Shard) noteWhy(waiting []*model.Job, why string) {
+	now := s.Now().UnixMilli()
+	reasons := make([]model.Reason, 0, len(waiting))
+	for _, j := range waiting {
+		reasons = append(reasons, model.Reason{
+			Job: j.Spec.Key, Code: model.ReasonNoEvidence, Detail: why, UnixMS: now,
+		})
+	}
+	s.Jobs.AddReasons(reasons)
+	s.mu.Lock()
+	changed := s.lastWhy != why
+	s.lastWhy = why
+	s.mu.Unlock()
+	if changed {
+		s.event("nothing starts: " + why)
+	}
+}
+
+// candidates returns the waiting jobs of the shard and those of other shards that
+// have waited long enough, which it also returns by key.
+func (s *Shard) candidates(ops map[model.JobKey]opKind) ([]*model.Job, map[model.JobKey]*jobs.Entry) {
+	var waiting []*model.Job
+	for _, e := range s.Jobs.Waiting(s.id) {
+		if _, busy := ops[e.Job.Spec.Key]; !busy {
+			waiting = append(waiting, &e.Job)
+		}
+	}
+	foreign := map[model.JobKey]*jobs.Entry{}
+	if !s.Journal.State().Reachable {
+		return waiting, foreign
+	}
+	for _, e := range s.Jobs.WaitingElsewhere(s.id, maxForeign) {
+		if _, busy := ops[e.Job.Spec.Key]; busy || !s.mayTake(e) {
+			continue
+		}
+		foreign[e.Job.Spec.Key] = e
+		waiting = append(waiting, &e.Job)
+	}
+	return waiting, foreign
+}
+
+// mayTake reports whether a job of another shard may move here: it is allowed in
+// this zone, and its home is out of service or has let it wait.
+func (s *Shard) mayTake(e *jobs.Entry) bool {
+	spec := &e.Job.Spec
+	if spec.Zone != "" && spec.Zone != s.Zone {
+		return false
+	}
+	if z := s.Board.Config.Get().Zone(e.Job.Home.Zone); z == nil || !z.InService {
+		return true
+	}
+	return s.Now().UnixMilli()-e.Job.AcceptedUnixMS > foreignAge.Milliseconds()
+}
+
+func (s *Shard) snapshot(o *observation, ops map[model.JobKey]opKind, waiting []*model.Job) *planner.Snapshot {
+	cfg := s.Board.Config.Get()
+	snap := &planner.Snapshot{
+		Now: s.Now(), Shard: s.id, ZoneInService: true,
+		Waiting: waiting, History: s.History,
+		Guarantees: s.Guarantees(cfg, s.id),
+		Blocked:    s.Blocked(),
+		Stopping:   map[model.JobKey]bool{},
+		Pinned:     map[model.JobKey]bool{},
+		Served:     map[model.JobKey]time.Duration{},
+	}
+	for _, l := range s.allLinks() {
+		w := l.worker
+		w.Health = o.views[w.ID].health
+		snap.Workers = append(snap.Workers, w)
+	}
+	s.addRunning(snap, o)
+	for job, kind := range ops {
+		if kind == opWithdraw || kind == opStop {
+			snap.Stopping[job] = true
+		}
+	}
+	elsewhere := s.Jobs.UsageElsewhere(s.id)
+	for _, org := range cfg.Text.Organisations {
+		snap.Organisations = append(snap.Organisations, planner.Organisation{
+			Name: org.Name, QuotaAccelerators: org.QuotaAccelerators,
+			UsedElsewhere: elsewhere[org.Name], Weight: max(org.Weight, 1),
+		})
+	}
+	return snap
+}
+
+// addRunning adds everything that occupies workers: active attempts, and tasks of
+// attempts that should not run but have not ended yet.
+func (s *Shard) addRunning(snap *planner.Snapshot, o *observation) {
+	seen := map[attemptKey]bool{}
+	for _, e := range s.Jobs.Active(s.id) {
+		p := *e.Job.Placement
+		p.Class = e.Job.Spec.Class()
+		p.Priority = e.Job.Spec.Priority
+		snap.Running = append(snap.Running, p)
+		snap.Served[p.Job] = time.Duration(e.Job.ServedMS) * time.Millisecond
+		if e.Job.Spec.NonRepeatable {
+			snap.Pinned[p.Job] = true
+		}
+		seen[attemptKey{job: p.Job, attempt: p.Attempt}] = true
+	}
+	for k, tasks := range o.tasks {
+		if seen[k] {
+			continue
+		}
+		if p := stray(k, s.id, tasks); len(p.Members) > 0 {
+			snap.Running = append(snap.Running, p)
+			snap.Stopping[k.job] = true
+		}
+	}
+}
+
+// stray returns a placement for the running tasks of an attempt that should end.
+func stray(k attemptKey, id model.ShardID, tasks map[int]workerlink.Task) model.Placement {
+	p := model.Placement{Job: k.job, Attempt: k.attempt, Shard: id}
+	for _, t := range tasks {
+		if t.State == workerlink.TaskRunning {
+			p.Members = append(p.Members, t.Member)
+		}
+	}
+	return p
+}
+
+// carryOut starts a planned gang, or first moves the job here.
+func (s *Shard) carryOut(p model.Placement, foreign map[model.JobKey]*jobs.Entry) {
+	if e := foreign[p.Job]; e != nil {
+		s.launch(p.Job, opMove, func(ctx context.Context) { s.move(ctx, e) })
+		return
+	}
+	s.launch(p.Job, opStart, func(ctx context.Context) { s.startGang(ctx, p) })
+}
+
+// move takes a waiting job over from another shard.
+func (s *Shard) move(ctx context.Context, e *jobs.Entry) {
+	key := e.Job.Spec.Key
+	body := journal.JobMoved{Job: key, From: e.Job.Home, To: s.id, Move: e.Move + 1}
+	id := fmt.Sprintf("move/%s/%d/%s", key, body.Move, s.id)
+	rec, err := journal.NewRecord(journal.KindJobMoved, s.Host, id, s.Now(), body)
+	if err != nil {
+		return
+	}
+	cctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := s.Journal.Append(cctx, journal.StreamJobs, rec); err != nil {
+		s.Logger.Info("shard: move not recorded: " + err.Error())
+	}
+}
+
+// preempt stops a running attempt to make room.
+func (s *Shard) preempt(pre planner.Preemption) {
+	e := s.Jobs.Get(pre.Job)
+	if e == nil || !current(e, pre.Attempt) {
+		return
+	}
+	w := withdrawal{reason: "preempted", checkpoint: pre.Checkpoint}
+	if pre.For != (model.JobKey{}) {
+		w.reason = "preempted for job " + pre.For.String()
+	}
+	s.launch(pre.Job, opWithdraw, func(ctx context.Context) { s.withdraw(ctx, e, w) })
+}
+
+// observeRun teaches the run time of a finished job.
+func (s *Shard) observeRun(e *jobs.Entry, runMS int64) {
+	total := time.Duration(runMS+e.Job.ServedMS) * time.Millisecond
+	size := e.Job.Spec.Accelerators()
+	if size == 0 {
+		size = e.Job.Spec.Tasks
+	}
+	s.History.Observe(e.Job.Spec.Class(), size, total)
+}
