--- /dev/null
+++ b/internal/apiserver/jobs.go
@@ -0,0 +1,237 @@
+package apiserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/api"
+	"github.com/daisyfold/daisyfold/internal/apierror"
+	"github.com/daisyfold/daisyfold/internal/auth"
+	"github.com/daisyfold/daisyfold/internal/blackboard"
+	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/google/uuid"
+)
+
+// maxPayloadBytes bounds a job's payload, so that its record fits into the log.
+const maxPayloadBytes = 64 << 10
+
+// SubmitJob implements api.Handler.
+func (s *server) SubmitJob(ctx context.Context, req *api.JobRequest) (*api.JobAccepted, error) {
+	spec, err := s.jobSpec(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	result, submitErr := s.Jobs.Submit(ctx, spec)
+	if submitErr != nil {
+		return nil, errorAnswer(asAPIError(submitErr), string(spec.Key.ID))
+	}
+	return &api.JobAccepted{
+		ID:         string(result.ID),
+		Durability: api.JobAcceptedDurability(result.Durability),
+		State:      string(result.State),
+	}, nil
+}
+
+// jobSpec checks a job against the text and returns what the caller asked for.
+func (s *server) jobSpec(ctx context.Context, req *api.JobRequest) (model.JobSpec, error) {
+	organisation, err := callerOrganisation(ctx)
+	if err != nil {
+		return model.JobSpec{}, err
+	}
+	id, err := chosenID(req.ID)
+	if err != nil {
+		return model.JobSpec{}, err
+	}
+	current := s.Config()
+	if current == nil {
+		return model.JobSpec{}, noConfiguration()
+	}
+	service, err := jobService(current, req)
+	if err != nil {
+		return model.JobSpec{}, err
+	}
+	return newSpec(model.JobKey{Organisation: organisation, ID: model.JobID(id)}, service, req), nil
+}
+
+func newSpec(key model.JobKey, service *config.Service, req *api.JobRequest) model.JobSpec {
+	return model.JobSpec{
+		Key:     key,
+		Service: service.Name,
+		Tasks:   req.Tasks,
+		Task: model.Resources{
+			CPUs:         req.Cpus.Or(1),
+			MemoryMB:     req.MemoryMB.Or(0),
+			Accelerators: req.Accelerators.Or(0),
+		},
+		Within:         model.Level(req.Within.Or(api.LevelZone)),
+		Zone:           model.Zone(req.Zone.Or("")),
+		Priority:       service.PriorityClass(),
+		Declared:       time.Duration(req.DeclaredSeconds.Or(0) * float64(time.Second)),
+		DeadlineUnixMS: req.DeadlineUnixMS.Or(0),
+		NonRepeatable:  req.NonRepeatable.Or(false) || !service.Repeatable,
+		Payload:        []byte(req.Payload.Or("")),
+	}
+}
+
+// jobService returns the job's service after checking the limits that the text sets.
+func jobService(current *blackboard.Configuration, req *api.JobRequest) (*config.Service, error) {
+	service := current.Text.Service(model.Service(req.Service))
+	zone := model.Zone(req.Zone.Or(""))
+	switch {
+	case service == nil:
+		return nil, apierror.NotRun(apierror.CodeBadInput, "there is no service %q", req.Service)
+	case service.Kind != config.KindJobs:
+		return nil, apierror.NotRun(apierror.CodeBadInput, "service %q takes requests, not jobs", req.Service)
+	case req.Tasks > service.TaskLimit():
+		return nil, apierror.NotRun(apierror.CodeImpossible, "%d tasks are over the limit of %d (maxTasks of service %q)",
+			req.Tasks, service.TaskLimit(), req.Service)
+	case zone != "" && current.Text.Zone(zone) == nil:
+		return nil, apierror.NotRun(apierror.CodeBadInput, "there is no availability zone %q", zone)
+	case len(req.Payload.Or("")) > maxPayloadBytes:
+		return nil, apierror.NotRun(apierror.CodeTooLarge, "the payload is over %d bytes", maxPayloadBytes)
+	default:
+		return service, nil
+	}
+}
+
+// ListJobs implements api.Handler. An operator sees the jobs of all organisations.
+func (s *server) ListJobs(ctx context.Context, params api.ListJobsParams) (*api.JobList, error) {
+	state := model.JobState(params.State.Or(""))
+	if state != "" && api.JobState(state).Validate() != nil {
+		return nil, apierror.NotRun(apierror.CodeBadInput, "there is no job state %q", state)
+	}
+	jobs := s.Jobs.List(auth.FromContext(ctx).Organisation, state, params.Limit.Or(1000))
+	list := &api.JobList{Jobs: make([]api.Job, len(jobs))}
+	for i := range jobs {
+		list.Jobs[i] = *jobAnswer(&jobs[i])
+	}
+	return list, nil
+}
+
+// ShowJob implements api.Handler.
+func (s *server) ShowJob(ctx context.Context, params api.ShowJobParams) (*api.Job, error) {
+	job, err := s.job(ctx, params.ID, params.Organisation)
+	if err != nil {
+		return nil, err
+	}
+	return jobAnswer(&job), nil
+}
+
+// WaitJob implements api.Handler. It returns the job as it is when the time is up or
+// the host leaves.
+func (s *server) WaitJob(ctx context.Context, params api.WaitJobParams) (*api.Job, error) {
+	job, err := s.job(ctx, params.ID, params.Organisation)
+	if err != nil {
+		return nil, err
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, time.Duration(params.Seconds.Or(30))*time.Second)
+	defer cancel()
+	stop := s.endOnLeaving(waitCtx, cancel)
+	defer stop()
+	final, waitErr := s.Jobs.Wait(waitCtx, job.Spec.Key)
+	switch {
+	case waitErr == nil:
+		return jobAnswer(&final), nil
+	case waitCtx.Err() == nil:
+		return nil, waitErr
+	}
+	job, err = s.job(ctx, params.ID, params.Organisation)
+	if err != nil {
+		return nil, err
+	}
+	return jobAnswer(&job), nil
+}
+
+// endOnLeaving calls cancel when the host begins to leave. The returned function ends
+// the watch.
+func (s *server) endOnLeaving(ctx context.Context, cancel context.CancelFunc) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-s.Leaving:
+			cancel()
+		case <-ctx.Done():
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+// CancelJob implements api.Handler.
+func (s *server) CancelJob(ctx context.Context, params api.CancelJobParams) (*api.Job, error) {
+	job, err := s.job(ctx, params.ID, params.Organisation)
+	if err != nil {
+		return nil, err
+	}
+	job, cancelErr := s.Jobs.Cancel(ctx, job.Spec.Key, auth.FromContext(ctx).String())
+	if cancelErr != nil {
+		return nil, errorAnswer(asAPIError(cancelErr), params.ID)
+	}
+	return jobAnswer(&job), nil
+}
+
+// ExplainJob implements api.Handler.
+func (s *server) ExplainJob(ctx context.Context, params api.ExplainJobParams) (*api.Explanation, error) {
+	job, err := s.job(ctx, params.ID, params.Organisation)
+	if err != nil {
+		return nil, err
+	}
+	explanation := &api.Explanation{Job: *jobAnswer(&job), Reasons: []api.Reason{}}
+	for _, r := range s.Jobs.Explain(job.Spec.Key) {
+		explanation.Reasons = append(explanation.Reasons, api.Reason{
+			Code: string(r.Code), Detail: r.Detail, UnixMS: r.UnixMS,
+		})
+	}
+	return explanation, nil
+}
+
+// job returns a job that the caller may reach.
+func (s *server) job(ctx context.Context, id string, organisation api.OptString) (model.Job, error) {
+	owner, err := reachableOrganisation(ctx, organisation)
+	if err != nil {
+		return model.Job{}, err
+	}
+	job, ok := s.Jobs.Get(model.JobKey{Organisation: owner, ID: model.JobID(id)})
+	if !ok {
+		return model.Job{}, apierror.NotRun(apierror.CodeNotFound, "organisation %q has no job %q", owner, id)
+	}
+	return job, nil
+}
+
+// reachableOrganisation returns the organisation whose jobs the caller asks for.
+func reachableOrganisation(ctx context.Context, named api.OptString) (model.Organisation, error) {
+	identity := auth.FromContext(ctx)
+	organisation := model.Organisation(named.Or(string(identity.Organisation)))
+	switch {
+	case identity.IsOperator() && organisation == "":
+		return "", apierror.NotRun(apierror.CodeBadInput, "an operator must name the organisation of the job")
+	case !identity.IsOperator() && organisation != identity.Organisation:
+		return "", apierror.NotRun(apierror.CodeForbidden, "%s cannot reach jobs of others", identity)
+	default:
+		return organisation, nil
+	}
+}
+
+// callerOrganisation returns the organisation that a job or request is for.
+func callerOrganisation(ctx context.Context) (model.Organisation, error) {
+	identity := auth.FromContext(ctx)
+	if identity.Organisation == "" {
+		return "", apierror.NotRun(apierror.CodeForbidden, "only organisations submit jobs and requests, not %s", identity)
+	}
+	return identity.Organisation, nil
+}
+
+// chosenID returns the id that the caller chose, or a new one.
+func chosenID(given api.OptString) (string, error) {
+	id, ok := given.Get()
+	if !ok || id == "" {
+		return uuid.NewString(), nil
+	}
+	for _, r := range id {
+		if r <= ' ' || r > '~' {
+			return "", apierror.NotRun(apierror.CodeBadInput, "an id consists of printable ASCII without spaces")
+		}
+	}
+	return id, nil
+}
