Add the command-line tool and the reference pages' generator

Cause: callers and operators need every verb of the API, and the reference pages must not differ from the checks. Change: cmd/daisyfold and internal/cli with one file for each verb; failover to the next address only after a refused connection; exit codes by outcome; Reference in jsontext, config and settings.

--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/daisyfold/daisyfold/internal/finding"
+	"github.com/daisyfold/daisyfold/internal/settings"
+)
+
+type checkCommand struct {
+	env      *env
+	Settings bool `long:"settings" description:"The files are settings of daemons, not texts"`
+	Args     struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// checkResult is the JSON output of check.
+type checkResult struct {
+	Findings finding.List `json:"findings"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	result := checkResult{Findings: finding.List{}}
+	for _, file := range c.Args.Files {
+		findings, err := c.check(file)
+		if err != nil {
+			return err
+		}
+		result.Findings = append(result.Findings, findings...)
+	}
+	err := c.env.print(result, func(w io.Writer) { c.write(w, result.Findings) })
+	if err == nil && len(result.Findings) > 0 {
+		err = &failure{exit: exitBadInput, quiet: true}
+	}
+	return err
+}
+
+func (c *checkCommand) check(file string) (finding.List, error) {
+	if c.Settings {
+		_, findings := settings.Load(file)
+		return findings, nil
+	}
+	data, err := c.env.readInput(file)
+	if err != nil {
+		return nil, err
+	}
+	_, findings := config.Parse(file, data)
+	return findings, nil
+}
+
+func (c *checkCommand) write(w io.Writer, findings finding.List) {
+	for _, f := range findings {
+		_, _ = fmt.Fprintln(w, f)
+	}
+	if len(findings) == 0 {
+		line(w, "no findings")
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/daisyfold/daisyfold/internal/api"
+)
+
+type statusCommand struct{ env *env }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	status, err := call(c.env, func(ctx context.Context, client *api.Client) (*api.Status, error) {
+		return client.GetStatus(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	return c.env.print(status, func(w io.Writer) { writeStatus(w, status) })
+}
+
+func writeStatus(w io.Writer, s *api.Status) {
+	line(w, "host %s in %s, version %d%s%s", s.Host, s.Zone, s.ConfigVersion,
+		ifTrue(s.Leaving, ", leaving"), ifTrue(!s.LogReachable, ", log unreachable"))
+	_, _ = fmt.Fprintln(w)
+	table(w, zoneRows(s.Zones))
+	_, _ = fmt.Fprintln(w)
+	table(w, organisationRows(s.Organisations))
+	_, _ = fmt.Fprintln(w)
+	table(w, hostRows(s.Hosts))
+	for _, f := range s.Findings {
+		line(w, "finding: %s", f)
+	}
+}
+
+func ifTrue(condition bool, s string) string {
+	if condition {
+		return s
+	}
+	return ""
+}
+
+func zoneRows(zones []api.ZoneStatus) [][]string {
+	rows := [][]string{{"ZONE", "SERVICE", "WORKERS", "TARGETS", "FREE", "FRAGMENTED", "EVIDENCE"}}
+	for _, z := range zones {
+		rows = append(rows, []string{
+			cut(z.Zone, 18), either(z.InService, "in", "out"), strconv.Itoa(z.Workers), strconv.Itoa(z.Targets),
+			fmt.Sprintf("%d/%d", z.AcceleratorsFree.Or(0), z.AcceleratorsTotal.Or(0)),
+			fmt.Sprintf("%.0f %%", 100*z.Fragmentation.Or(0)), cut(z.Evidence, 16),
+		})
+	}
+	return rows
+}
+
+func organisationRows(organisations []api.OrganisationStatus) [][]string {
+	rows := [][]string{{"ORGANISATION", "GUARANTEED", "USED", "WAITING", "RUNNING"}}
+	for _, o := range organisations {
+		rows = append(rows, []string{
+			cut(o.Organisation, 30), strconv.Itoa(o.GuaranteedAccelerators), strconv.Itoa(o.UsedAccelerators),
+			strconv.Itoa(o.WaitingJobs), strconv.Itoa(o.RunningJobs),
+		})
+	}
+	return rows
+}
+
+func hostRows(hosts []api.HostStatus) [][]string {
+	rows := [][]string{{"HOST", "ZONE", "STATE"}}
+	for _, h := range hosts {
+		state := either(h.Alive, "alive", "silent")
+		rows = append(rows, []string{cut(h.Host, 30), cut(h.Zone, 30), either(h.Leaving, "leaving", state)})
+	}
+	return rows
+}
+
+func either(condition bool, yes, no string) string {
+	if condition {
+		return yes
+	}
+	return no
+}
--- /dev/null
+++ b/internal/cli/zone.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/daisyfold/daisyfold/internal/api"
+)
+
+type zoneCommand struct {
+	env       *env
+	inService bool
+	ID        string `long:"id" value-name:"ID" description:"Id of the change; a repetition with the same id changes nothing twice"`
+	Args      struct {
+		Zone string `positional-arg-name:"ZONE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+func zoneVerbs(e *env) []verb {
+	return []verb{
+		{name: "out", short: "Take a zone out", command: &zoneCommand{env: e},
+			long: "Takes an availability zone out of service. No task starts there a few seconds later."},
+		{name: "in", short: "Take a zone back in", command: &zoneCommand{env: e, inService: true},
+			long: "Takes an availability zone back into service."},
+	}
+}
+
+// zoneResult is the JSON output of zone.
+type zoneResult struct {
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Version int64  `json:"version"`
+}
+
+// Execute implements flags.Commander.
+func (c *zoneCommand) Execute([]string) error {
+	change := &api.ZoneChange{ID: orNewID(c.ID), InService: c.inService}
+	answer, err := call(c.env, func(ctx context.Context, client *api.Client) (*api.ZoneChanged, error) {
+		return client.SetZone(ctx, change, api.SetZoneParams{Zone: c.Args.Zone})
+	})
+	if err != nil {
+		return withID(err, change.ID)
+	}
+	result := zoneResult{ID: change.ID, State: string(answer.State), Version: answer.Version}
+	return c.env.print(result, func(w io.Writer) {
+		line(w, "zone %s: the change is %s, version %d", c.Args.Zone, result.State, result.Version)
+	})
+}
--- a/internal/jsontext/walk.go
+++ b/internal/jsontext/walk.go
@@ -148,9 +148,7 @@
 	if f.Bound.contains(duration.Seconds()) {
 		return true
 	}
-	low := time.Duration(f.Bound.Min * float64(time.Second))
-	high := time.Duration(f.Bound.Max * float64(time.Second))
-	d.Add(path, "%s is out of range; allowed are %s to %s", text, low, high)
+	d.Add(path, "%s is out of range; allowed are %s to %s", text, seconds(f.Bound.Min), seconds(f.Bound.Max))
 	return false
 }
 
@@ -206,3 +204,5 @@
 }
 
 func formatNumber(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
