--- a/internal/jsontext/reference.go
+++ b/internal/jsontext/reference.go
@@ -42,7 +42,11 @@
 	} else if f.Default != "" {
 		need = "no, `" + f.Default + "`"
 	}
-	return fmt.Sprintf("| `%s` | %s | %s | %s | %s |\n", f.Name, f.typeName(), f.values(), need, f.Doc)
+	cells := []string{"`" + f.Name + "`", f.typeName(), f.values(), need, f.Doc}
+	for i, c := range cells {
+		cells[i] = strings.ReplaceAll(c, "|", `\|`)
+	}
+	return "| " + strings.Join(cells, " | ") + " |\n"
 }
 
 var shortNames = map[Kind]string{
