--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -54,7 +54,11 @@
 // ConfigEdit replaces the text. It is accepted if BaseVersion is the version in
 // force at its place in the log; the new version is BaseVersion+1. Zone changes
 // are edits too: the daemon rewrites the text and publishes it.
+//
+// ID is the operator's id of the edit. A zone change that races with another edit is
+// written again with a new base and the same ID; a reader accepts an ID once.
 type ConfigEdit struct {
+	ID          string `json:"id"`
 	BaseVersion int64  `json:"baseVersion"`
 	Text        []byte `json:"text"`
 }
@@ -65,6 +69,17 @@
 	Version       int64  `json:"version"`
 	Text          []byte `json:"text"`
 	ThroughOffset int64  `json:"throughOffset"`
+	// Edits are the last accepted edits, oldest first. A reader that starts here
+	// must refuse the same repeated IDs as the others.
+	Edits []AcceptedEdit `json:"edits,omitempty"`
+}
+
+// AcceptedEdit says which edit made a version. Digest is a cut SHA-256 sum of the
+// text, in hexadecimal.
+type AcceptedEdit struct {
+	ID      string `json:"id"`
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
 }
 
 // JobAccepted is the acceptance of a job.
