--- /dev/null
+++ b/internal/calls/peers.go
@@ -0,0 +1,166 @@
+package calls
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/apierror"
+	"github.com/daisyfold/daisyfold/internal/journal"
+	"github.com/daisyfold/daisyfold/internal/model"
+)
+
+// PeerOutcome is what a host knows about a request.
+type PeerOutcome string
+
+// Outcomes between hosts. They travel as strings in twirp CallOutcomeAnswer.
+const (
+	PeerRan        PeerOutcome = "ran"
+	PeerNotRun     PeerOutcome = "not_run"
+	PeerUnknown    PeerOutcome = "unknown"
+	PeerInProgress PeerOutcome = "in_progress"
+	// PeerNone says that the host knows nothing of the request and from now on
+	// refuses it, so the asking host may answer not_run.
+	PeerNone PeerOutcome = "none"
+	// PeerWithdrawn says that the host has not sent the request and never will,
+	// but does not know whether another host did.
+	PeerWithdrawn PeerOutcome = "withdrawn"
+)
+
+// PeerAnswer is a host's knowledge of a request. Status is 0 and Body empty when a
+// request ran but its answer was not kept.
+type PeerAnswer struct {
+	Outcome PeerOutcome
+	Status  int
+	Body    []byte
+}
+
+func (a PeerAnswer) result(id string) result {
+	switch {
+	case a.Outcome == PeerNotRun || a.Outcome == PeerWithdrawn:
+		return result{final: true, err: apierror.NotRun(apierror.CodeUnknownOutcome, "request %s was refused and will not run; use a new id", id)}
+	case a.Status == 0:
+		return result{final: true, err: answerNotKept(id)}
+	default:
+		return result{final: true, answer: Answer{RequestID: id, Status: a.Status, Body: a.Body}}
+	}
+}
+
+// peerAnswer is what the log says about a request, for another host.
+func (c callState) peerAnswer() PeerAnswer {
+	switch c.outcome {
+	case model.OutcomeRan:
+		if c.omitted {
+			return PeerAnswer{Outcome: PeerRan}
+		}
+		return PeerAnswer{Outcome: PeerRan, Status: c.status, Body: c.body}
+	case model.OutcomeNotRun:
+		return PeerAnswer{Outcome: PeerNotRun}
+	default:
+		return PeerAnswer{Outcome: PeerUnknown}
+	}
+}
+
+// result is what the log says about a request, for its caller.
+func (c callState) result(id string) result {
+	a := c.peerAnswer()
+	if a.Outcome == PeerUnknown {
+		return unknownOutcome(id, c.host)
+	}
+	return a.result(id)
+}
+
+// Outcome answers another host's question about a request. When this host knows
+// nothing of it, it promises not to send it, so that the other host's refusal holds.
+func (s *Service) Outcome(org model.Organisation, request string) PeerAnswer {
+	key := callKey{org: org, id: request}
+	e, ok := s.entries.promise(time.Now(), key)
+	if known, logged := s.cfg.Table.get(key); logged && (e == nil || known.outcome != "") {
+		return known.peerAnswer()
+	}
+	switch {
+	case e != nil:
+		return s.entryAnswer(e)
+	case !ok || !s.cfg.Journal.Replayed(journal.StreamCalls):
+		// An earlier incarnation of this host may have sent it.
+		return PeerAnswer{Outcome: PeerUnknown}
+	default:
+		return PeerAnswer{Outcome: PeerNone}
+	}
+}
+
+func (s *Service) entryAnswer(e *entry) PeerAnswer {
+	res, ended, withdrawn := s.entries.state(e)
+	if !ended && withdrawn && s.cfg.Journal.Replayed(journal.StreamCalls) {
+		return PeerAnswer{Outcome: PeerWithdrawn}
+	}
+	if !ended {
+		return PeerAnswer{Outcome: PeerInProgress}
+	}
+	if res.err == nil {
+		return PeerAnswer{Outcome: PeerRan, Status: res.answer.Status, Body: res.answer.Body}
+	}
+	return PeerAnswer{Outcome: PeerOutcome(res.err.Outcome)}
+}
+
+// refuse ends a request that this host does not carry out. An earlier submission of
+// a non-repeatable request may have run at another host, so not_run is said only
+// when the others confirm it.
+func (s *Service) refuse(ctx context.Context, p *plan, e *entry, refusal *apierror.Error) result {
+	if p.service == nil || p.service.repeatable {
+		return result{err: refusal}
+	}
+	return s.settle(ctx, p, e, refusal)
+}
+
+// settle finds out whether a request that this host will not send has run or may
+// still run at another host.
+func (s *Service) settle(ctx context.Context, p *plan, e *entry, refusal *apierror.Error) result {
+	if p.assigned {
+		return result{err: refusal}
+	}
+	if known, ok := s.cfg.Table.get(p.key); ok {
+		return s.follow(ctx, p, known)
+	}
+	s.stats.settled.Add(1)
+	s.entries.withdraw(e)
+	asked := s.askAll(ctx, p)
+	clear := s.cfg.Journal.Replayed(journal.StreamCalls)
+	for _, a := range asked {
+		switch a.Outcome {
+		case PeerRan, PeerNotRun:
+			return a.result(p.req.ID)
+		case PeerNone, PeerWithdrawn:
+		default:
+			clear = false
+		}
+	}
+	if clear {
+		return result{err: refusal, final: true}
+	}
+	return result{err: apierror.Unknown(refusal.Code, "%s; another host may have run it", refusal.Message)}
+}
+
+// askAll asks every other member. A member that cannot be asked counts as unknown.
+func (s *Service) askAll(ctx context.Context, p *plan) []PeerAnswer {
+	members := s.cfg.Board.Members.List()
+	answers := make(chan PeerAnswer, len(members))
+	asked := 0
+	for _, m := range members {
+		if m.Host == s.cfg.Host {
+			continue
+		}
+		asked++
+		go func() {
+			a, err := s.ask(ctx, p, m.Host)
+			if err != nil {
+				a = PeerAnswer{Outcome: PeerUnknown}
+			}
+			answers <- a
+		}()
+	}
+	out := make([]PeerAnswer, 0, asked)
+	for range asked {
+		out = append(out, <-answers)
+	}
+	return out
+}
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -23,3 +23,9 @@
 	OutcomeNotRun  Outcome = "not_run"
 	OutcomeUnknown Outcome = "unknown"
 )
+
+// ConnectionsPerHost is one entry host's share of the target's connections when
+// hosts entry hosts share them; at least 1, so that every host can reach it.
+func (t Target) ConnectionsPerHost(hosts int) int {
+	return max(1, t.Connections/max(1, hosts))
+}
--- /dev/null
+++ b/internal/routing/target.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/model"
+)
+
+// ResultKind says how an attempt ended.
+type ResultKind int
+
+// Result kinds.
+const (
+	ResultOK       ResultKind = iota // a whole answer below status 500
+	ResultRejected                   // the target said that it did not run the call
+	ResultFailed                     // status 500 or above, or no connection
+	ResultBroken                     // no whole answer within the deadline
+	// ResultAbandoned is an attempt that ended for a reason other than the target.
+	ResultAbandoned
+)
+
+// Result is what an attempt told about its target.
+type Result struct {
+	Kind    ResultKind
+	Latency time.Duration
+	Leaving bool
+}
+
+const (
+	// latencyGain and successGain are the weights of one sample. Ten samples
+	// replace most of the old value, so a target that turns slow is noticed
+	// after about ten calls.
+	latencyGain = 0.2
+	successGain = 0.2
+	// forgetAfter is the time constant with which old observations lose weight,
+	// so that a target that recovered is tried again.
+	forgetAfter = 30 * time.Second
+	// minSuccess bounds how far a low success rate pushes a target back.
+	minSuccess = 0.02
+	// limitGrowth is how many successes at the limit raise it by one request.
+	limitGrowth = 10
+)
+
+// targetState is what this host observed of one target.
+type targetState struct {
+	target   model.Target
+	maxOpen  int // connections of this host
+	limit    float64
+	inFlight int
+	leaving  bool
+	latency  float64 // seconds, mean of successful calls; 0 before the first
+	success  float64 // 0 to 1
+	seen     time.Time
+	breaker  breaker
+	load     reportedLoad
+}
+
+func newTargetState(t model.Target, maxOpen int) *targetState {
+	s := &targetState{success: 1}
+	s.update(t, maxOpen)
+	s.limit = float64(s.hardLimit())
+	return s
+}
+
+// update takes over what the host list says about the target.
+func (s *targetState) update(t model.Target, maxOpen int) {
+	s.target = t
+	s.maxOpen = maxOpen
+	s.leaving = t.Leaving
+	s.limit = math.Min(s.limit, float64(s.hardLimit()))
+}
+
+// hardLimit is the number of requests that slots and connections allow.
+func (s *targetState) hardLimit() int {
+	return max(1, min(s.target.Slots, s.maxOpen))
+}
+
+// free reports whether another request fits. Other hosts use the same slots, so
+// the limit falls when the target rejects and rises again with successes.
+func (s *targetState) free() bool {
+	return s.inFlight < max(1, int(s.limit))
+}
+
+// observe takes in the end of an attempt.
+func (s *targetState) observe(now time.Time, r Result) {
+	s.inFlight--
+	if r.Leaving {
+		s.leaving = true
+	}
+	if r.Kind == ResultAbandoned {
+		s.breaker.abandon()
+		return
+	}
+	ok := r.Kind == ResultOK
+	s.success = mix(s.successAt(now), boolValue(ok), successGain)
+	if ok || r.Kind == ResultBroken {
+		s.observeLatency(r.Latency)
+	}
+	s.seen = now
+	s.breaker.observe(now, ok)
+	s.adaptLimit(r.Kind)
+}
+
+func (s *targetState) observeLatency(d time.Duration) {
+	if s.latency == 0 {
+		s.latency = d.Seconds()
+		return
+	}
+	s.latency = mix(s.latency, d.Seconds(), latencyGain)
+}
+
+func (s *targetState) adaptLimit(k ResultKind) {
+	switch k {
+	case ResultRejected:
+		s.limit = math.Max(1, float64(s.inFlight))
+	case ResultOK:
+		s.limit = math.Min(float64(s.hardLimit()), s.limit+1/float64(limitGrowth))
+	}
+}
+
+// successAt is the success rate, drawn towards 1 by the time since the last call.
+func (s *targetState) successAt(now time.Time) float64 {
+	return mix(s.success, 1, forgotten(now.Sub(s.seen)))
+}
+
+// latencyAt is the mean latency, drawn towards usual by the time since the last
+// call; usual is the mean of all targets of the service.
+func (s *targetState) latencyAt(now time.Time, usual float64) float64 {
+	if s.latency == 0 {
+		return usual
+	}
+	return mix(s.latency, usual, forgotten(now.Sub(s.seen)))
+}
+
+// cost ranks targets: the expected time of one more request, divided by the square
+// of the success rate so that a target that fails fast is not preferred.
+func (s *targetState) cost(now time.Time, usual float64) float64 {
+	p := math.Max(minSuccess, s.successAt(now))
+	return s.latencyAt(now, usual) * float64(s.inFlight+1) / (p * p)
+}
+
+// forgotten is the weight that observations of that age have lost, from 0 to 1.
+func forgotten(age time.Duration) float64 {
+	if age <= 0 {
+		return 0
+	}
+	return 1 - math.Exp(-age.Seconds()/forgetAfter.Seconds())
+}
+
+func mix(old, sample, gain float64) float64 { return old + (sample-old)*gain }
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
