Add the load tool's demo

Cause: the demo needs a driver that starts the deployment, plays callers, operators and faults, and judges from the ledger.

--- /dev/null
+++ b/cmd/daisyfold-load/main.go
@@ -0,0 +1,84 @@
+// Command daisyfold-load starts a deployment of the emulator and daemons, drives
+// it and judges the result. It is a test tool.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/daisyfold/daisyfold/internal/load"
+)
+
+// common are the flags of every subcommand.
+type common struct {
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the workload and of the emulator"`
+	Bin      string `long:"bin" default:"bin" description:"directory of the programs"`
+	Examples string `long:"examples" default:"examples" description:"directory of the examples"`
+	Example  string `long:"example" default:"kerherve" description:"example to run"`
+	Keep     string `long:"keep" description:"directory that keeps settings and logs"`
+}
+
+func (c common) options() load.Options {
+	return load.Options{
+		Seed:     c.Seed,
+		Bin:      c.Bin,
+		Examples: c.Examples,
+		Example:  c.Example,
+		KeepDir:  c.Keep,
+		Out:      os.Stdout,
+		Errors:   os.Stderr,
+	}
+}
+
+type demoCommand struct{ common }
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	return run(func(ctx context.Context) (bool, error) { return load.Demo(ctx, c.options()) })
+}
+
+// errBroken is returned when the run ended and broke a promise; its details are
+// printed by then.
+var errBroken = fmt.Errorf("a promise was broken")
+
+func run(work func(ctx context.Context) (bool, error)) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	clean, err := work(ctx)
+	if err != nil {
+		return err
+	}
+	if !clean {
+		return errBroken
+	}
+	return nil
+}
+
+func main() {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	commands := []struct {
+		name, help string
+		data       any
+	}{
+		{"demo", "run the demo", &demoCommand{}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.help, c.help, c.data); err != nil {
+			panic(err)
+		}
+	}
+	_, err := parser.Parse()
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "daisyfold-load:", err)
+		os.Exit(1)
+	}
+}
