Wire the daemon

Cause: the parts have to run as one process for the path to be seen whole. Conclusion: the whole path can be tried.

--- /dev/null
+++ b/internal/daemon/adapters.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/daisyfold/daisyfold/internal/apiserver"
+	"github.com/daisyfold/daisyfold/internal/calls"
+	"github.com/daisyfold/daisyfold/internal/jobs"
+	"github.com/daisyfold/daisyfold/internal/membership"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/peerserver"
+	"github.com/daisyfold/daisyfold/internal/rpc/peer"
+	"github.com/gravitational/trace"
+)
+
+// jobsAPI adapts the jobs service to the API server.
+type jobsAPI struct{ *jobs.Service }
+
+// Submit implements apiserver.Jobs.
+func (j jobsAPI) Submit(ctx context.Context, spec model.JobSpec) (apiserver.SubmitResult, error) {
+	a, err := j.Service.Submit(ctx, spec)
+	return apiserver.SubmitResult{
+		ID: a.ID, Durability: apiserver.Durability(a.Durability), State: a.State,
+	}, err
+}
+
+// callsAPI adapts the calls service to the API server.
+type callsAPI struct{ *calls.Service }
+
+// Do implements apiserver.Calls.
+func (c callsAPI) Do(ctx context.Context, r apiserver.CallRequest) (apiserver.CallAnswer, error) {
+	a, err := c.Service.Do(ctx, calls.Request(r))
+	return apiserver.CallAnswer(a), err
+}
+
+// peerCalls asks other hosts about requests.
+type peerCalls struct{ members *membership.Membership }
+
+// PeerOutcome implements calls.Peers.
+func (p peerCalls) PeerOutcome(ctx context.Context, host model.HostID, org model.Organisation, id string) (calls.PeerAnswer, error) {
+	client, ok := p.members.Client(host)
+	if !ok {
+		return calls.PeerAnswer{}, trace.NotFound("host %s is not known", host)
+	}
+	req := &peer.CallOutcomeRequest{Organisation: string(org), Request: id}
+	ans, err := client.CallOutcome(ctx, req)
+	if err != nil {
+		return calls.PeerAnswer{}, trace.Wrap(err)
+	}
+	return calls.PeerAnswer{
+		Outcome: calls.PeerOutcome(ans.Outcome), Status: int(ans.Status), Body: ans.Body,
+	}, nil
+}
+
+// outcomes answers other hosts' questions about requests.
+type outcomes struct{ *calls.Service }
+
+// Outcome implements peerserver.Outcomes.
+func (o outcomes) Outcome(org model.Organisation, id string) peerserver.CallOutcome {
+	a := o.Service.Outcome(org, id)
+	return peerserver.CallOutcome{Outcome: string(a.Outcome), Status: a.Status, Body: a.Body}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisyfold/daisyfold/internal/blackboard"
+	"github.com/daisyfold/daisyfold/internal/calls"
+	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/daisyfold/daisyfold/internal/configsync"
+	"github.com/daisyfold/daisyfold/internal/controller"
+	"github.com/daisyfold/daisyfold/internal/evidence"
+	"github.com/daisyfold/daisyfold/internal/jobs"
+	"github.com/daisyfold/daisyfold/internal/journal"
+	"github.com/daisyfold/daisyfold/internal/logging"
+	"github.com/daisyfold/daisyfold/internal/membership"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/queue"
+	"github.com/daisyfold/daisyfold/internal/shard"
+)
+
+// Daemon is one entry host's process.
+type Daemon struct {
+	Options
+	board   *blackboard.Board
+	journal *journal.LogJournal
+	members *membership.Membership
+	sync    *configsync.Sync
+	checker *evidence.Checker
+	table   *jobs.Table
+	jobs    *jobs.Service
+	calls   *calls.Service
+	shards  *shard.Manager
+	pool    *controller.Pool
+	leaving chan struct{}
+	stopped atomic.Bool
+}
+
+// New builds a daemon; nothing runs before Run.
+func New(o Options) *Daemon {
+	o.setDefaults()
+	d := &Daemon{Options: o, board: blackboard.New(), leaving: make(chan struct{})}
+	d.pool = controller.NewPool(controllerWorkers)
+	d.buildAgreement()
+	d.buildJobs()
+	d.buildCalls()
+	d.buildShards()
+	return d
+}
+
+func (d *Daemon) part(name string) *zap.Logger { return logging.Part(d.Logger, name) }
+
+// buildAgreement creates the journal, membership, configuration and evidence.
+func (d *Daemon) buildAgreement() {
+	s := d.Settings
+	d.journal = journal.New(journal.Options{
+		Log: d.Outside.Log, Host: s.Host, Now: d.Now,
+		AppendsPerSecond: d.appendShare, Retention: logRetention, Logger: d.Logger,
+	})
+	self := membership.Peer{Host: s.Host, Zone: s.Zone, Address: "http://" + s.Listen.Peer}
+	var peers []membership.Peer
+	for _, p := range s.Peers {
+		peers = append(peers, membership.Peer{Host: p.Host, Zone: p.Zone, Address: p.Address})
+	}
+	d.members = membership.New(membership.Options{
+		Self: self, Peers: peers, Members: &d.board.Members, Hosts: &d.board.Hosts,
+		Dial: d.Outside.Dial, Now: d.Now, Logger: d.Logger,
+	})
+	d.sync = configsync.New(configsync.Options{
+		Board: d.board, Journal: d.journal, Members: d.members, Parse: parseText,
+		EditZone: config.SetZone, Retention: logRetention, Now: d.Now, Logger: d.Logger,
+	})
+	d.journal.Register(journal.StreamConfig, d.sync)
+	d.journal.RegisterSnapshotter(d.sync)
+	d.members.Attach(d.sync)
+	d.checker = evidence.New(evidence.Sources{
+		Zone: s.Zone, Now: d.Now, Config: &d.board.Config, LogState: d.journal.State,
+		Reports: d.members.Reports, Known: d.sync.Known, PendingOut: d.sync.PendingOut,
+	})
+}
+
+// parseText reads an operators' text from the log or an operator.
+func parseText(data []byte) (*config.Text, error) {
+	text, findings := config.Parse("daisyfold.jsonc", data)
+	return text, findings.Err()
+}
+
+// appendShare is this host's part of the deployment's appends per second.
+func (d *Daemon) appendShare() float64 {
+	alive := 0
+	for _, m := range d.board.Members.List() {
+		if m.Alive {
+			alive++
+		}
+	}
+	return float64(d.Settings.LogAppendsPerSecond) / float64(max(alive, 1))
+}
+
+func (d *Daemon) buildJobs() {
+	d.table = jobs.NewTable(d.Now)
+	d.jobs = jobs.NewService(jobs.Options{
+		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Journal: d.journal,
+		Table: d.table, Copier: d.members, Keeper: d.journal.Copies(),
+		NewID: d.NewID, Now: d.Now, Logger: d.part("jobs"),
+	})
+	d.journal.Register(journal.StreamJobs, d.table)
+}
+
+func (d *Daemon) buildCalls() {
+	table := calls.NewTable()
+	d.calls = calls.New(calls.Config{
+		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Journal: d.journal,
+		Table: table, Targets: d.Outside.Targets, Peers: peerCalls{d.members},
+		Seed: uint64(d.Now().UnixNano()),
+	})
+	d.journal.Register(journal.StreamCalls, d.calls)
+}
+
+func (d *Daemon) buildShards() {
+	d.shards = shard.NewManager(shard.Options{
+		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Jobs: d.table,
+		Journal: d.journal, Copier: d.members, Keeper: d.journal.Copies(),
+		Dialer: d.Outside.Workers, Evidence: d.checker, Owner: d.members.Owner,
+		Guarantees: guaranteesOf, Blocked: d.blockedServices, History: &queue.History{},
+		Pool: d.pool, Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
+	})
+}
+
+// guaranteesOf returns the guarantees of a shard. They are assigned to the first
+// shard of their zone, which holds its accelerators.
+func guaranteesOf(c *blackboard.Configuration, id model.ShardID) []model.Guarantee {
+	if id.Index != 0 {
+		return nil
+	}
+	var out []model.Guarantee
+	for _, org := range c.Text.Organisations {
+		for _, g := range org.Guarantees {
+			if g.Zone == id.Zone {
+				out = append(out, model.Guarantee{
+					Organisation: org.Name, Zone: g.Zone, Shape: g.Shape, Shapes: g.Shapes,
+				})
+			}
+		}
+	}
+	return out
+}
+
+// blockedServices returns the services that wait for an unavailable dependency.
+func (d *Daemon) blockedServices() map[model.Service]model.Service {
+	return d.calls.Blocked(d.Now())
+}
+
+// errStopped ends the group of loops after a planned stop.
+var errStopped = errors.New("planned stop")
+
+// Run serves until stop is closed and the daemon has drained, or ctx ends, which
+// ends it at once.
+func (d *Daemon) Run(ctx context.Context, stop <-chan struct{}) error {
+	apiL, peerL, err := listen(ctx, d.Settings)
+	if err != nil {
+		return err
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	servers := d.serve(ctx, g, apiL, peerL)
+	d.runLoops(ctx, g)
+	g.Go(func() error {
+		select {
+		case <-stop:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		d.drain(ctx, servers)
+		return errStopped
+	})
+	err = g.Wait()
+	if errors.Is(err, errStopped) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// runLoops starts everything that runs in the background.
+func (d *Daemon) runLoops(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { return d.journal.Run(ctx) })
+	g.Go(func() error { return d.members.Run(ctx) })
+	g.Go(func() error { return d.sync.Run(ctx) })
+	g.Go(func() error { d.pool.Run(ctx); return nil })
+	g.Go(func() error { d.shards.Run(ctx); return nil })
+	g.Go(func() error { return every(ctx, hostListInterval, d.fetchHosts) })
+	g.Go(func() error {
+		return every(ctx, pruneInterval, func(context.Context) { d.table.Prune() })
+	})
+}
+
+// fetchHosts reads the platform's list. A failed read keeps the last list.
+func (d *Daemon) fetchHosts(ctx context.Context) {
+	cctx, cancel := context.WithTimeout(ctx, hostListTimeout)
+	defer cancel()
+	list, changed, err := d.Outside.Hosts.Fetch(cctx)
+	if err != nil {
+		d.Logger.Debug("daemon: the host list cannot be read", zap.Error(err))
+		return
+	}
+	if changed {
+		d.board.Hosts.Put(list)
+	}
+}
+
+// every runs f at once and then at each interval.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/options.go
@@ -0,0 +1,102 @@
+// Package daemon wires the parts of daisyfoldd together and runs them from start to
+// planned stop.
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/daisyfold/daisyfold/internal/membership"
+	"github.com/daisyfold/daisyfold/internal/platform/hostlist"
+	"github.com/daisyfold/daisyfold/internal/platform/logservice"
+	"github.com/daisyfold/daisyfold/internal/platform/targetlink"
+	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+	"github.com/daisyfold/daisyfold/internal/rpc/peer"
+	"github.com/daisyfold/daisyfold/internal/settings"
+)
+
+// Times of the daemon's own loops.
+const (
+	hostListInterval = time.Second
+	hostListTimeout  = 2 * time.Second
+	// logRetention is how long the platform's log keeps records at least; live
+	// state is appended again several times within it.
+	logRetention  = time.Hour
+	pruneInterval = time.Minute
+	readHeader    = 5 * time.Second
+	// flushTimeout bounds the last appends of a planned stop.
+	flushTimeout = 5 * time.Second
+)
+
+// controllerWorkers is the size of the pool that runs controllers.
+const controllerWorkers = 4
+
+// Outside is what the daemon reaches outside its process. Tests replace it.
+type Outside struct {
+	Log     logservice.Log
+	Workers workerlink.Dialer
+	Hosts   hostlist.Source
+	Targets targetCaller
+	Dial    func(address string) peer.Peer
+}
+
+// targetCaller is the client to targets with its housekeeping.
+type targetCaller interface {
+	targetlink.Caller
+}
+
+// Options configure a Daemon.
+type Options struct {
+	Settings *settings.Settings
+	Outside  Outside
+	Registry gometrics.Registry
+	Logger   *zap.Logger
+	Now      func() time.Time
+	NewID    func() string
+}
+
+// Network returns the clients that reach the platform and the peers over HTTP.
+func Network(s *settings.Settings, r gometrics.Registry, hosts func() int) Outside {
+	return Outside{
+		Log:     logservice.New(s.Platform.Log, r),
+		Workers: workerlink.New(r),
+		Hosts:   hostlist.New(s.Platform.HostList, r),
+		Targets: targetlink.NewClient(targetlink.Options{Hosts: hosts}),
+		Dial:    membership.DialHTTP,
+	}
+}
+
+func (o *Options) setDefaults() {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewID == nil {
+		o.NewID = func() string { return uuid.NewString() }
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Registry == nil {
+		o.Registry = gometrics.NewRegistry()
+	}
+}
+
+// listen opens both listeners or none.
+func listen(ctx context.Context, s *settings.Settings) (api, peers net.Listener, err error) {
+	var lc net.ListenConfig
+	api, err = lc.Listen(ctx, "tcp", s.Listen.API)
+	if err != nil {
+		return nil, nil, err
+	}
+	peers, err = lc.Listen(ctx, "tcp", s.Listen.Peer)
+	if err != nil {
+		_ = api.Close()
+		return nil, nil, err
+	}
+	return api, peers, nil
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/daisyfold/daisyfold/internal/api"
+	"github.com/daisyfold/daisyfold/internal/blackboard"
+	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/partition"
+	"github.com/daisyfold/daisyfold/internal/platform/hostlist"
+)
+
+// Status implements apiserver.StatusSource.
+func (d *Daemon) Status(context.Context) *api.Status {
+	cfg := d.board.Config.Get()
+	list := d.board.Hosts.Get()
+	out := &api.Status{
+		Host: string(d.Settings.Host), Zone: string(d.Settings.Zone),
+		Leaving: d.stopped.Load(), LogReachable: d.journal.State().Reachable,
+		Zones: []api.ZoneStatus{}, Organisations: []api.OrganisationStatus{}, Hosts: []api.HostStatus{},
+	}
+	for _, m := range d.board.Members.List() {
+		out.Hosts = append(out.Hosts, api.HostStatus{
+			Host: string(m.Host), Zone: string(m.Zone), Alive: m.Alive, Leaving: m.Leaving,
+		})
+	}
+	if cfg == nil || list == nil {
+		return out
+	}
+	out.ConfigVersion = cfg.Version
+	for i := range cfg.Text.AvailabilityZones {
+		out.Zones = append(out.Zones, d.zoneStatus(&cfg.Text.AvailabilityZones[i], list))
+	}
+	out.Organisations = d.organisationStatus(cfg)
+	return out
+}
+
+func (d *Daemon) zoneStatus(z *config.AvailabilityZone, list *hostlist.List) api.ZoneStatus {
+	st := api.ZoneStatus{Zone: string(z.Name), InService: z.InService, Evidence: "not checked by this host"}
+	if z.Name == d.Settings.Zone {
+		_, st.Evidence = d.checker.Check(z.Name)
+	}
+	total := 0
+	for i := range list.Workers {
+		if list.Workers[i].Zone == z.Name {
+			st.Workers++
+			total += list.Workers[i].Capacity.Accelerators
+		}
+	}
+	for i := range list.Targets {
+		if list.Targets[i].Zone == z.Name {
+			st.Targets++
+		}
+	}
+	used := 0
+	for _, sh := range partition.Split(list.Workers) {
+		if sh.ID.Zone == z.Name {
+			used += accelerators(d.table.ActiveSpecs(sh.ID))
+		}
+	}
+	st.AcceleratorsTotal = api.NewOptInt(total)
+	st.AcceleratorsFree = api.NewOptInt(total - used)
+	return st
+}
+
+func accelerators(specs []model.JobSpec) int {
+	n := 0
+	for i := range specs {
+		n += specs[i].Accelerators()
+	}
+	return n
+}
+
+func (d *Daemon) organisationStatus(cfg *blackboard.Configuration) []api.OrganisationStatus {
+	counts := d.table.Counts()
+	out := make([]api.OrganisationStatus, 0, len(cfg.Text.Organisations))
+	for _, o := range cfg.Text.Organisations {
+		c := counts[o.Name]
+		guaranteed := 0
+		for _, g := range o.Guarantees {
+			guaranteed += g.Shapes * g.Shape.Accelerators()
+		}
+		out = append(out, api.OrganisationStatus{
+			Organisation: string(o.Name), GuaranteedAccelerators: guaranteed,
+			UsedAccelerators: c.Accelerators, WaitingJobs: c.Waiting, RunningJobs: c.Active,
+		})
+	}
+	return out
+}
--- a/internal/jobs/digest.go
+++ b/internal/jobs/digest.go
@@ -9,8 +9,11 @@
 )
 
 // Digest identifies what a caller submitted: two submissions under one id are the
-// same job exactly when their digests are equal.
+// same job exactly when their digests are equal. Priority and repeatability come
+// from the operators' text and may differ between the two.
 func Digest(s model.JobSpec) string {
+	s.Priority = 0
+	s.NonRepeatable = false
 	data, err := json.Marshal(s)
 	if err != nil {
 		return ""
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -389,3 +389,42 @@
 		}
 	}
 }
+
+// ActiveSpecs returns what the starting and running jobs of a shard asked for.
+func (t *Table) ActiveSpecs(s model.ShardID) []model.JobSpec {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]model.JobSpec, 0, len(t.active[s]))
+	for _, e := range t.active[s] {
+		out = append(out, e.Job.Spec)
+	}
+	return out
+}
+
+// Counts are an organisation's jobs that are not final.
+type Counts struct {
+	Waiting, Active, Accelerators int
+}
+
+// Counts returns the jobs of each organisation that are not final.
+func (t *Table) Counts() map[model.Organisation]Counts {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := map[model.Organisation]Counts{}
+	for _, index := range t.waiting {
+		for key := range index {
+			c := out[key.Organisation]
+			c.Waiting++
+			out[key.Organisation] = c
+		}
+	}
+	for _, index := range t.active {
+		for key, e := range index {
+			c := out[key.Organisation]
+			c.Active++
+			c.Accelerators += e.Job.Spec.Accelerators()
+			out[key.Organisation] = c
+		}
+	}
+	return out
+}
--- a/internal/peerserver/server.go
+++ b/internal/peerserver/server.go
@@ -95,11 +95,11 @@
 		return &peer.CallOutcomeAnswer{Outcome: string(model.OutcomeUnknown)}, nil
 	}
 	o := s.Outcomes.Outcome(model.Organisation(r.Organisation), r.Request)
-	ans := &peer.CallOutcomeAnswer{Outcome: o.Outcome, Status: int32(o.Status)}
-	if len(o.Body) <= maxOutcomeBytes {
-		ans.Body = o.Body
+	if len(o.Body) > maxOutcomeBytes {
+		// Status 0 tells the peer that the answer was not kept.
+		return &peer.CallOutcomeAnswer{Outcome: o.Outcome}, nil
 	}
-	return ans, nil
+	return &peer.CallOutcomeAnswer{Outcome: o.Outcome, Status: int32(o.Status), Body: o.Body}, nil
 }
 
 // Handler returns the HTTP handler of the peer API, below peer.PeerPathPrefix.
