Let an edit wait for the first reading of the log

Cause: make demo failed at its first step with log_unavailable, because a daemon that had just started refused the edit before its first read was answered. Change: Publish waits up to 2 s while the log was never read.

--- a/internal/configsync/publish.go
+++ b/internal/configsync/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/config"
@@ -18,6 +19,9 @@
 	MaxTextBytes = 128 << 10
 	// maxIDBytes bounds an edit's ID, so that the remembered edits stay small.
 	maxIDBytes = 64
+	// firstReadWait bounds the wait of an edit for the first reading of the log.
+	firstReadWait  = 2 * time.Second
+	firstReadCheck = 50 * time.Millisecond
 )
 
 // Publish replaces the text if base is the version in force and returns the new
@@ -86,7 +90,7 @@
 	if version, err := s.earlier(id, text); version > 0 || err != nil {
 		return version, err
 	}
-	if !s.opts.Journal.State().Reachable || !s.ready() {
+	if !s.awaitLog(ctx) {
 		return 0, apierror.NotRun(apierror.CodeLogUnavailable, "the log service cannot be read")
 	}
 	if current := s.folded().Version; base < current {
@@ -96,6 +100,29 @@
 	return s.judge(id, base, text, err)
 }
 
+// awaitLog reports whether edits can be judged and appended. Just after the start
+// the first reading of the log may still be on its way; it is worth a short wait.
+func (s *Sync) awaitLog(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, firstReadWait)
+	defer cancel()
+	t := time.NewTicker(firstReadCheck)
+	defer t.Stop()
+	for {
+		state := s.opts.Journal.State()
+		if state.Reachable && s.ready() {
+			return true
+		}
+		if !state.LastHead.IsZero() && s.ready() {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+	}
+}
+
 // earlier returns the version that the id made before, or 0.
 func (s *Sync) earlier(id string, text []byte) (int64, error) {
 	s.mu.Lock()
