--- a/internal/emulator/workertasks.go
+++ b/internal/emulator/workertasks.go
@@ -223,7 +223,7 @@
 	}
 	if a == nil {
 		delete(w.attempts, attemptKey{job: r.Job, attempt: r.Attempt})
-		return workerlink.StopAnswer{ServedMS: w.lastServed(r)}, nil
+		return workerlink.StopAnswer{ServedMS: w.lastServed(r), Finished: w.finished(r)}, nil
 	}
 	w.end(a, workerlink.TaskStopped, ledger.EndStopped)
 	return workerlink.StopAnswer{ServedMS: a.servedMS}, nil
@@ -240,6 +240,19 @@
 	return 0
 }
 
+// finished counts the attempt's finished tasks that were not acknowledged. The lock
+// is held.
+func (w *worker) finished(r workerlink.StopRequest) int {
+	n := 0
+	for _, e := range w.events {
+		id := e.Task.ID
+		if id.Job == r.Job && id.Attempt == r.Attempt && e.Task.State == workerlink.TaskFinished {
+			n++
+		}
+	}
+	return n
+}
+
 // saveBeforeStop waits for a checkpoint, at most for the grace time.
 func (w *worker) saveBeforeStop(ctx context.Context, r workerlink.StopRequest) error {
 	w.mu.Lock()
--- a/internal/platform/workerlink/workerlink.go
+++ b/internal/platform/workerlink/workerlink.go
@@ -164,9 +164,12 @@
 	GraceMS    int64        `json:"graceMS"`
 }
 
-// StopAnswer reports the run time that the checkpoint kept, in milliseconds.
+// StopAnswer reports the run time that the checkpoint kept, in milliseconds, and
+// how many of the attempt's tasks had finished before the stop and are not
+// acknowledged.
 type StopAnswer struct {
 	ServedMS int64 `json:"servedMS"`
+	Finished int   `json:"finished,omitempty"`
 }
 
 // CheckpointRequest saves the progress of an attempt's tasks and lets them run on.
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -101,7 +101,7 @@
 	failed := s.each(ctx, placementWorkers(p), callTimeout,
 		func(ctx context.Context, l *link, token model.Token) error {
 			return l.client.Confirm(ctx, workerlink.ConfirmRequest{
-				Token: token, Job: p.Job, Attempt: p.Attempt, TTLMS: leaseTTL.Milliseconds(),
+				Token: token, Job: p.Job, Attempt: p.Attempt, TTLMS: confirmLease.Milliseconds(),
 			})
 		})
 	for _, err := range failed {
@@ -114,6 +114,8 @@
 type stopResult struct {
 	// servedMS is the least run time that the members' checkpoints kept.
 	servedMS int64
+	// finished counts members that had finished before the stop.
+	finished int
 	// failed are the workers on which the stop is not certain.
 	failed map[model.WorkerID]error
 }
@@ -121,7 +123,7 @@
 // stopMembers stops an attempt on the given workers.
 func (s *Shard) stopMembers(ctx context.Context, k attemptKey, workers []model.WorkerID, checkpoint bool) stopResult {
 	var mu sync.Mutex
-	served := int64(-1)
+	served, finished := int64(-1), 0
 	failed := s.each(ctx, workers, stopTimeout,
 		func(ctx context.Context, l *link, token model.Token) error {
 			ans, err := l.client.Stop(ctx, workerlink.StopRequest{
@@ -133,6 +135,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			finished += ans.Finished
 			if served < 0 || ans.ServedMS < served {
 				served = ans.ServedMS
 			}
@@ -141,7 +144,7 @@
 	if len(failed) > 0 {
 		served = 0
 	}
-	return stopResult{servedMS: max(served, 0), failed: failed}
+	return stopResult{servedMS: max(served, 0), finished: finished, failed: failed}
 }
 
 // write makes a record durable and visible in the local table: in the log, or on
--- a/internal/shard/limits.go
+++ b/internal/shard/limits.go
@@ -8,8 +8,14 @@
 
 // Times of the worker and task leases.
 const (
-	// leaseTTL is the time to live of worker leases and of confirmed tasks.
-	leaseTTL = 30 * time.Second
+	// leaseTTL is the time to live of worker leases and of confirmed tasks. It is
+	// twice the renewal interval: a worker that is cut off ends its tasks 20 s after
+	// the last renewal that reached it, and only then may the job start elsewhere.
+	leaseTTL = 20 * time.Second
+	// confirmLease is the lease that a confirmation sets. It covers the longest time
+	// to the next renewal, 12 s. The shorter it is, the shorter confirmed members run
+	// alone when a planner dies between two confirmations and none takes over.
+	confirmLease = 13 * time.Second
 	// renewWait is the long-poll wait of a renewal.
 	renewWait = 10 * time.Second
 	// firstLease is the lease of a started task until its gang is confirmed. It
--- a/internal/shard/link.go
+++ b/internal/shard/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/platform/platformhttp"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
 )
 
@@ -29,6 +30,9 @@
 	renewEnd time.Time
 	// failing is when calls began to fail, or zero while they succeed.
 	failing time.Time
+	// handedOver is set when the shard is given up: the link renews, so that
+	// operations can end, but acquires nothing any more.
+	handedOver bool
 	since   uint64
 	tasks   map[model.TaskID]workerlink.Task
 	// unrecorded holds the event numbers of final tasks that the journal does
@@ -59,36 +63,39 @@
 		if fenced(err) {
 			l.drop()
 			pause = fencedMin + rand.N(fencedSpread)
+		} else {
+			l.noteFailure()
 		}
-		l.noteFailure()
 		sleep(ctx, pause)
 	}
 }
 
-// noteFailure records that calls fail. After lostAfter the link stops renewing:
-// it acquires instead, which does not extend the leases of tasks, so the tasks of
-// a worker that only answers are certain to end.
+// noteFailure records that a call failed. The link then acquires instead of renewing
+// again: an acquisition does not extend the leases of tasks, so the tasks of a
+// worker that receives calls but whose answers are lost are certain to end.
 func (l *link) noteFailure() {
 	now := l.now()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.failing.IsZero() {
 		l.failing = now
 	}
-	lost := l.held && now.Sub(l.failing) > lostAfter
-	l.mu.Unlock()
-	if lost {
-		l.drop()
-	}
+	l.held = false
 }
 
 func (l *link) step(ctx context.Context) error {
 	l.mu.Lock()
-	held := l.held
+	held, handedOver := l.held, l.handedOver
 	l.mu.Unlock()
-	if !held {
+	switch {
+	case held:
+		return l.renew(ctx)
+	case handedOver:
+		<-ctx.Done()
+		return ctx.Err()
+	default:
 		return l.acquire(ctx)
 	}
-	return l.renew(ctx)
 }
 
 func (l *link) acquire(ctx context.Context) error {
@@ -128,9 +135,11 @@
 	cctx, cancel := context.WithTimeout(ctx, renewWait+renewMargin)
 	defer cancel()
 	ans, err := l.client.Renew(cctx, req)
-	l.mu.Lock()
-	l.renewEnd = l.now()
-	l.mu.Unlock()
+	if !unsent(err) {
+		l.mu.Lock()
+		l.renewEnd = l.now()
+		l.mu.Unlock()
+	}
 	if err != nil {
 		return err
 	}
@@ -180,12 +189,15 @@
 	return ack
 }
 
-// forget drops the final tasks of an attempt after the journal recorded its end.
+// forget drops the tasks of an attempt after the journal recorded its end: the final
+// ones, and on a worker that is not held all of them, because the end was recorded
+// only when they could not run any more. An acquisition reports what is there.
 func (l *link) forget(job model.JobKey, attempt int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, t := range l.tasks {
-		if id.Job == job && id.Attempt == attempt && t.State != workerlink.TaskRunning {
+		gone := t.State != workerlink.TaskRunning || !l.held
+		if id.Job == job && id.Attempt == attempt && gone {
 			delete(l.tasks, id)
 			delete(l.unrecorded, id)
 		}
@@ -200,6 +212,14 @@
 	l.changed()
 }
 
+// handOver ends acquisitions. A planner that acquired again while its successor
+// already plans would fence the successor.
+func (l *link) handOver() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handedOver = true
+}
+
 // release hands the worker lease back so that the next planner need not wait.
 func (l *link) release(ctx context.Context) {
 	l.mu.Lock()
@@ -216,7 +236,10 @@
 
 // linkView is a consistent copy of a link's state.
 type linkView struct {
-	held     bool
+	held bool
+	// lost is set when calls have failed for lostAfter. A worker that is neither
+	// held nor lost is being acquired.
+	lost     bool
 	token    model.Token
 	renewEnd time.Time
 	tasks    []workerlink.Task
@@ -231,6 +254,7 @@
 	for _, t := range l.tasks {
 		v.tasks = append(v.tasks, t)
 	}
+	v.lost = !l.failing.IsZero() && l.now().Sub(l.failing) > lostAfter
 	v.health = l.healthLocked()
 	return v
 }
@@ -263,6 +287,13 @@
 	l.health.note(ok)
 }
 
+// unsent reports whether a call certainly did not reach the worker, as when its
+// host refuses connections.
+func unsent(err error) bool {
+	var ue *platformhttp.UnsentError
+	return errors.As(err, &ue)
+}
+
 func fenced(err error) bool {
 	var we *workerlink.Error
 	return errors.As(err, &we) && we.Body.Code == workerlink.CodeFenced
--- a/internal/shard/observe.go
+++ b/internal/shard/observe.go
@@ -48,24 +48,33 @@
 	running, finished, failed, ended int
 	// absent members are not on their worker although this host holds it.
 	absent int
-	// lost members are on workers that this host cannot reach.
-	lost   int
+	// lost members are on workers that this host cannot reach, pending ones on
+	// workers that it is acquiring.
+	lost, pending int
 	detail string
 }
 
+// linkGone reports whether a worker is not in the platform's list any more.
+func (s *Shard) linkGone(id model.WorkerID) bool {
+	return s.link(id) == nil && s.Now().Sub(s.began) > lostAfter
+}
+
 // summarise compares a placement with the reported tasks.
-func (o *observation) summarise(p *model.Placement) gang {
+func (s *Shard) summarise(o *observation, p *model.Placement) gang {
 	var g gang
 	tasks := o.tasks[attemptKey{job: p.Job, attempt: p.Attempt}]
 	for i := range p.Members {
 		m := &p.Members[i]
 		t, seen := tasks[m.Index]
-		held := o.views[m.Worker].held
+		view := o.views[m.Worker]
+		held := view.held
 		switch {
 		case seen && t.State == workerlink.TaskFinished:
 			g.finished++
-		case !held:
+		case !held && (view.lost || s.linkGone(m.Worker)):
 			g.lost++
+		case !held:
+			g.pending++
 		case !seen:
 			g.absent++
 		case t.State == workerlink.TaskRunning:
--- a/internal/shard/reconcile.go
+++ b/internal/shard/reconcile.go
@@ -21,7 +21,7 @@
 		if e != nil && current(e, k.attempt) {
 			continue
 		}
-		s.reconcileStray(k, e, tasks)
+		s.reconcileStray(o, k, e, tasks)
 	}
 }
 
@@ -37,7 +37,7 @@
 		return
 	}
 	key := e.Job.Spec.Key
-	g := o.summarise(e.Job.Placement)
+	g := s.summarise(o, e.Job.Placement)
 	members := len(e.Job.Placement.Members)
 	switch {
 	case g.finished == members:
@@ -53,32 +53,24 @@
 		w := withdrawal{reason: "a member stopped"}
 		s.launch(key, opWithdraw, func(ctx context.Context) { s.withdraw(ctx, e, w) })
 	case g.lost > 0:
-		s.reconcileLost(e)
+		w := withdrawal{reason: "a worker was lost"}
+		s.launch(key, opWithdraw, func(ctx context.Context) { s.withdraw(ctx, e, w) })
+	case g.pending > 0:
+		// The tasks of a worker that is being acquired are not known yet.
 	case e.Job.State == model.JobStarting:
 		s.launch(key, opConfirm, func(ctx context.Context) { s.confirmFound(ctx, e) })
 	}
 }
 
-// reconcileLost handles a gang with a member on a worker that cannot be reached.
-// At the start of planning the workers are still being acquired, which must not
-// end gangs that run well.
-func (s *Shard) reconcileLost(e *jobs.Entry) {
-	if s.Now().Sub(s.began) < lostAfter {
-		return
-	}
-	w := withdrawal{reason: "a worker was lost"}
-	s.launch(e.Job.Spec.Key, opWithdraw, func(ctx context.Context) { s.withdraw(ctx, e, w) })
-}
-
 // reconcileStray handles tasks of attempts that should not run.
-func (s *Shard) reconcileStray(k attemptKey, e *jobs.Entry, tasks map[int]workerlink.Task) {
+func (s *Shard) reconcileStray(o *observation, k attemptKey, e *jobs.Entry, tasks map[int]workerlink.Task) {
 	if e == nil && !s.orphanDue(k) {
 		return
 	}
 	if e != nil && k.attempt > e.Job.Attempt {
 		return // its JobPlaced record has not been read yet
 	}
-	if !anyRunning(tasks) {
+	if !o.anyReachable(tasks) {
 		s.forget(k, tasks)
 		return
 	}
@@ -104,9 +96,10 @@
 	return s.Now().Sub(since) > orphanAge
 }
 
-func anyRunning(tasks map[int]workerlink.Task) bool {
+// anyReachable reports whether a task runs on a worker that this host holds.
+func (o *observation) anyReachable(tasks map[int]workerlink.Task) bool {
 	for _, t := range tasks {
-		if t.State == workerlink.TaskRunning {
+		if t.State == workerlink.TaskRunning && o.views[t.Member.Worker].held {
 			return true
 		}
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -148,6 +148,9 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
+	for _, l := range s.allLinks() {
+		l.handOver()
+	}
 	s.awaitOps(ctx)
 	s.cancel()
 	s.wg.Wait()
--- a/internal/shard/withdraw.go
+++ b/internal/shard/withdraw.go
@@ -25,6 +25,9 @@
 	p := e.Job.Placement
 	k := attemptKey{job: p.Job, attempt: p.Attempt}
 	result := s.stopMembers(ctx, k, placementWorkers(p), w.checkpoint)
+	if result.finished == len(p.Members) {
+		return // the whole gang finished before the stop reached it
+	}
 	for len(result.failed) > 0 && !w.neverStarted {
 		left := s.stillPossible(result.failed, p)
 		if len(left) == 0 {
