--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -26,11 +26,7 @@
 func (c *checkCommand) Execute([]string) error {
 	result := checkResult{Findings: finding.List{}}
 	for _, file := range c.Args.Files {
-		findings, err := c.check(file)
-		if err != nil {
-			return err
-		}
-		result.Findings = append(result.Findings, findings...)
+		result.Findings = append(result.Findings, c.check(file)...)
 	}
 	err := c.env.print(result, func(w io.Writer) { c.write(w, result.Findings) })
 	if err == nil && len(result.Findings) > 0 {
@@ -39,17 +35,17 @@
 	return err
 }
 
-func (c *checkCommand) check(file string) (finding.List, error) {
+func (c *checkCommand) check(file string) finding.List {
 	if c.Settings {
 		_, findings := settings.Load(file)
-		return findings, nil
+		return findings
 	}
 	data, err := c.env.readInput(file)
 	if err != nil {
-		return nil, err
+		return finding.List{{File: file, Message: err.Error()}}
 	}
 	_, findings := config.Parse(file, data)
-	return findings, nil
+	return findings
 }
 
 func (c *checkCommand) write(w io.Writer, findings finding.List) {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -26,6 +26,7 @@
 	{"`dependsOn` names other services of the text, each once, and forms no cycle.", (*checker).dependencies},
 	{"`maxInFlight` stands only at services of kind `requests`, `maxTasks` only at those of kind `jobs`.", (*checker).kindFields},
 	{"`availabilityZone` of a guarantee names a zone of the text.", (*checker).guaranteeZones},
+	{"A shape within one worker has at most 8 accelerators.", (*checker).shapesInWorkers},
 	{"All guarantees fit together into the declared hardware of all zones, in service or not.", (*checker).guaranteesFit},
 	{"An organisation's guarantees do not exceed its `quotaAccelerators`.", (*checker).guaranteesWithinQuota},
 }
@@ -167,6 +168,18 @@
 	}
 }
 
+func (c *checker) shapesInWorkers() {
+	for i, o := range c.text.Organisations {
+		for j, g := range o.Guarantees {
+			path := fmt.Sprintf("organisations[%d].guarantees[%d].shape", i, j)
+			if g.Shape.Within == model.LevelWorker && g.Shape.Accelerators() > model.WorkerAccelerators {
+				c.doc.Add(path, "%s are %d accelerators, but a worker has at most %d",
+					shapeText(g.Shape), g.Shape.Accelerators(), model.WorkerAccelerators)
+			}
+		}
+	}
+}
+
 func (c *checker) guaranteesWithinQuota() {
 	for i, o := range c.text.Organisations {
 		total := 0
--- a/internal/config/fit.go
+++ b/internal/config/fit.go
@@ -33,13 +33,19 @@
 		return
 	}
 	zones := c.declaredZones()
-	demands := c.demands()
-	sort.SliceStable(demands, func(i, j int) bool { return demands[i].before(&demands[j]) })
-	for i := range demands {
-		c.fit(&demands[i], zones)
+	for _, d := range sortDemands(c.demands()) {
+		if placed := place(&d, zones); placed < d.Shapes {
+			c.doc.Add(d.path, "only %d of %d guaranteed shapes (%s) fit into the declared hardware of %s",
+				placed, d.Shapes, shapeText(d.Shape), d.zoneText())
+		}
 	}
 }
 
+func sortDemands(demands []demand) []demand {
+	sort.SliceStable(demands, func(i, j int) bool { return demands[i].before(&demands[j]) })
+	return demands
+}
+
 func (c *checker) declaredZones() []*freeZone {
 	zones := make([]*freeZone, len(c.text.AvailabilityZones))
 	for i, z := range c.text.AvailabilityZones {
@@ -89,17 +95,17 @@
 	return d.Shape.Count > e.Shape.Count
 }
 
-func (c *checker) fit(d *demand, zones []*freeZone) {
+// place takes the shapes of a demand out of the zones and returns how many fit.
+func place(d *demand, zones []*freeZone) int {
 	placed := 0
 	for placed < d.Shapes {
 		n := placeSome(d, d.Shapes-placed, zones)
 		if n == 0 {
-			c.doc.Add(d.path, "only %d of %d guaranteed shapes (%s) fit into the declared hardware of %s",
-				placed, d.Shapes, shapeText(d.Shape), d.zoneText())
-			return
+			break
 		}
 		placed += n
 	}
+	return placed
 }
 
 func (d *demand) zoneText() string {
--- a/internal/jsontext/parse.go
+++ b/internal/jsontext/parse.go
@@ -62,7 +62,16 @@
 		return 0, message
 	}
 	_, cause, _ := strings.Cut(strings.TrimPrefix(message, "hujson: "), ": ")
-	return offsetOf(p.text, line, column), cause
+	return offsetOf(p.text, line, column), shorten(strings.Join(strings.Fields(cause), " "))
+}
+
+// shorten cuts a text that a message quotes.
+func shorten(s string) string {
+	const maxShown = 80
+	if len(s) <= maxShown {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxShown], "") + "..."
 }
 
 // repair changes the text so that parsing can go on behind the fault at offset.
--- a/internal/jsontext/walk.go
+++ b/internal/jsontext/walk.go
@@ -142,7 +142,7 @@
 func (d *Document) checkDuration(path string, f *Field, text string) bool {
 	duration, err := time.ParseDuration(text)
 	if err != nil {
-		d.Add(path, "%q has no known unit; wanted is %s", text, kindNames[Duration])
+		d.Add(path, "%q must be %s", text, kindNames[Duration])
 		return false
 	}
 	if f.Bound.contains(duration.Seconds()) {
@@ -174,21 +174,17 @@
 
 // addType reports a value of the wrong type or unit.
 func (d *Document) addType(path string, f *Field, v *hujson.Value) {
-	d.Add(path, "wanted is %s, not %s", f.wants(), describe(v))
+	d.Add(path, "must be %s, not %s", f.wants(), describe(v))
 }
 
 func describe(v *hujson.Value) string {
-	const maxShown = 40
 	switch literal := v.Value.(type) {
 	case *hujson.Object:
 		return kindNames[Object]
 	case *hujson.Array:
 		return kindNames[List]
 	case hujson.Literal:
-		if len(literal) <= maxShown {
-			return string(literal)
-		}
-		return string(literal[:maxShown]) + "..."
+		return shorten(string(literal))
 	default:
 		return "this"
 	}
