Complete the command-line tool and test it with scripts

Cause: an old file must not take a zone back into service, and a leaving daemon must not end a verb while others take work. Measured: go test ./internal/cli ./internal/config passes; linter is clean.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -8,6 +8,7 @@
 	"github.com/daisyfold/daisyfold/internal/api"
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/google/uuid"
 )
 
@@ -15,6 +16,7 @@
 	env  *env
 	ID   string `long:"id" value-name:"ID" description:"Id of the edit; a repetition with the same id changes nothing twice"`
 	Base int64  `long:"base" value-name:"VERSION" default:"-1" default-mask:"the version in force" description:"Version that the text edits; another version in force refuses it"`
+	In   bool   `long:"zones-in" description:"Also take zones back into service as the text says; without it a zone that is out of service stays out"`
 	Args struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
 	} `positional-args:"yes"`
@@ -25,6 +27,8 @@
 	ID      string          `json:"id"`
 	Version int64           `json:"version"`
 	Changes []config.Change `json:"changes"`
+	// KeptOut lists the zones that stay out of service although the text has them in.
+	KeptOut []model.Zone `json:"keptOut,omitempty"`
 }
 
 // Execute implements flags.Commander.
@@ -41,21 +45,31 @@
 		}
 		return refused
 	}
-	result, err := c.publish(text, data)
+	result, err := c.publish(data, text)
 	if err != nil {
 		return err
 	}
 	return c.env.print(result, func(w io.Writer) {
 		writeChanges(w, result.Changes)
+		for _, zone := range result.KeptOut {
+			line(w, "zone %s stays out of service: use --zones-in or 'daisyfold zone in %s'", zone, zone)
+		}
 		line(w, "version %d is accepted", result.Version)
 	})
 }
 
-func (c *applyCommand) publish(text *config.Text, data []byte) (*applyResult, error) {
+func (c *applyCommand) publish(data []byte, text *config.Text) (*applyResult, error) {
 	current, err := currentText(c.env)
 	if err != nil {
 		return nil, err
 	}
+	var kept []model.Zone
+	if !c.In {
+		data, kept, err = keepOut(data, text, current.text)
+	}
+	if err != nil {
+		return nil, err
+	}
 	edit := &api.ConfigEdit{ID: orNewID(c.ID), BaseVersion: current.version, Text: string(data)}
 	if c.Base >= 0 {
 		edit.BaseVersion = c.Base
@@ -66,7 +80,36 @@
 	if err != nil {
 		return nil, withID(err, edit.ID)
 	}
-	return &applyResult{ID: edit.ID, Version: accepted.Version, Changes: config.Diff(current.text, text)}, nil
+	return &applyResult{
+		ID: edit.ID, Version: accepted.Version, Changes: config.Diff(current.text, text), KeptOut: kept,
+	}, nil
+}
+
+// keepOut changes next and its text so that zones that are out of service in current
+// stay out. The file with the text is often older than the last 'zone out'.
+func keepOut(data []byte, next, current *config.Text) ([]byte, []model.Zone, error) {
+	var kept []model.Zone
+	for i := range next.AvailabilityZones {
+		zone := &next.AvailabilityZones[i]
+		if !zone.InService || !isOut(current, zone.Name) {
+			continue
+		}
+		edited, err := config.SetZone(data, zone.Name, false)
+		if err != nil {
+			return nil, nil, err
+		}
+		data, zone.InService = edited, false
+		kept = append(kept, zone.Name)
+	}
+	return data, kept, nil
+}
+
+func isOut(text *config.Text, name model.Zone) bool {
+	if text == nil {
+		return false
+	}
+	zone := text.Zone(name)
+	return zone != nil && !zone.InService
 }
 
 // inForce is the configuration in force; version 0 stands for none.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,7 +18,7 @@
 
 // globals are the options of every verb.
 type globals struct {
-	Addresses []string `long:"address" value-name:"URL" env:"DAISYFOLD_ADDRESS" env-delim:"," description:"Daemon to call; repeat it to name others that are tried when a connection is refused"`
+	Addresses []string `long:"address" value-name:"URL" env:"DAISYFOLD_ADDRESS" env-delim:"," description:"Daemon to call; repeat it to name others that are tried when it refuses the connection or is leaving"`
 	Key       string   `long:"key" value-name:"KEY" env:"DAISYFOLD_KEY" default-mask:"-" description:"Bearer key of the organisation or operator"`
 	CAFile    string   `long:"ca-file" value-name:"FILE" env:"DAISYFOLD_CA_FILE" description:"PEM file of the authorities that sign the daemons' certificates"`
 	Output    string   `long:"output" choice:"text" choice:"json" default:"text" description:"Form of the output"`
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,201 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/daisyfold/daisyfold/internal/api"
+	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain lets the scripts run this test program as daisyfold.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"daisyfold": func() { os.Exit(Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts guards against verbs whose output or exit code misleads a script.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setupDaemon,
+		Cmds:  map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+	})
+}
+
+// exits runs a command and compares its exit code: exits CODE command args...
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE command args...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// answers are what the stand-in for a daemon answers to each request.
+var answers = map[string]struct {
+	status int
+	body   string
+}{
+	"POST /v1/jobs":                {200, `{"id": "j1", "durability": "log", "state": "waiting"}`},
+	"GET /v1/jobs/done/wait":       {200, job("done", "finished")},
+	"GET /v1/jobs/bad/wait":        {200, job("bad", "failed")},
+	"GET /v1/jobs/slow/wait":       {200, job("slow", "running")},
+	"GET /v1/jobs/none":            {404, failed("not_run", "not_found")},
+	"GET /v1/jobs":                 {200, `{"jobs": [` + job("done", "finished") + `]}`},
+	"POST /v1/jobs/done/cancel":    {500, failed("unknown", "internal")},
+	"POST /v1/zones/brest":         {200, `{"state": "pending", "version": 7}`},
+	"POST /v1/zones/vannes":        {503, failed("not_run", "log_unavailable")},
+	"GET /v1/config":               {503, failed("not_run", "no_configuration")},
+	"POST /v1/config":              {200, `{"version": 1}`},
+	"POST /v1/services/lost/call":  {502, failed("unknown", "unknown_outcome")},
+	"POST /v1/services/taken/call": {410, failed("ran", "answer_not_kept")},
+}
+
+func job(id, state string) string {
+	return fmt.Sprintf(`{"organisation": "schools", "id": %q, "service": "proofs", "state": %q, "tasks": 2,
+		"accelerators": 4, "attempt": 1, "acceptedUnixMS": 0}`, id, state)
+}
+
+func failed(outcome, code string) string {
+	return fmt.Sprintf(`{"outcome": %q, "code": %q, "message": "a message"}`, outcome, code)
+}
+
+// setupDaemon starts the stand-in and names it to the scripts, behind an address that
+// refuses connections and a daemon that is leaving.
+func setupDaemon(e *testscript.Env) error {
+	server := httptest.NewServer(http.HandlerFunc(answerRequest))
+	e.Defer(server.Close)
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	leaving := httptest.NewServer(http.HandlerFunc(answerLeaving))
+	e.Defer(leaving.Close)
+	e.Setenv("LEAVING", leaving.URL)
+	e.Setenv("REFUSING", closed.URL)
+	e.Setenv("DAISYFOLD_ADDRESS", closed.URL+","+leaving.URL+","+server.URL+","+server.URL)
+	e.Setenv("DAISYFOLD_KEY", "schools-key")
+	return nil
+}
+
+func answerLeaving(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, failed("not_run", "leaving"))
+}
+
+func answerRequest(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/echo/call") {
+		echo(w, r)
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, "/broken/call") {
+		breakFirst(w, r)
+		return
+	}
+	answer, ok := answers[r.Method+" "+r.URL.Path]
+	if !ok {
+		answer.status, answer.body = 404, failed("not_run", "not_found")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.status)
+	_, _ = io.WriteString(w, answer.body)
+}
+
+var broken sync.Map
+
+// breakFirst breaks the connection of the first request with an id and answers the
+// next, so that a script sees whether the tool sent it again.
+func breakFirst(w http.ResponseWriter, r *http.Request) {
+	if _, again := broken.LoadOrStore(r.Header.Get("Request-Id"), true); !again {
+		panic(http.ErrAbortHandler)
+	}
+	echo(w, r)
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Target-Status", "200")
+	_, _ = io.Copy(w, r.Body)
+}
+
+// TestHelpWidth guards against help that does not fit a terminal of 80 columns.
+func TestHelpWidth(t *testing.T) {
+	for _, args := range [][]string{{}, {"check"}, {"job", "submit"}, {"job", "wait"}, {"request"}, {"zone", "out"}} {
+		var out strings.Builder
+		if code := Run(append(args, "--help"), nil, &out, io.Discard); code != exitOK {
+			t.Errorf("%v: exit code %d", args, code)
+		}
+		for _, l := range strings.Split(out.String(), "\n") {
+			if len(l) > lineWidth {
+				t.Errorf("%v: %d columns: %s", args, len(l), l)
+			}
+		}
+	}
+}
+
+// TestOutputWidth guards against tables that do not fit a terminal of 80 columns.
+func TestOutputWidth(t *testing.T) {
+	long := strings.Repeat("long-name", 7)
+	free := api.NewOptInt(7999)
+	status := &api.Status{
+		Host: long, Zone: long, Findings: []string{strings.Repeat("word ", 40)},
+		Zones: []api.ZoneStatus{{Zone: long, Workers: 7500, Targets: 500, AcceleratorsFree: free,
+			AcceleratorsTotal: free, Fragmentation: api.NewOptFloat64(1), Evidence: long}},
+		Organisations: []api.OrganisationStatus{{Organisation: long, GuaranteedAccelerators: 8000,
+			UsedAccelerators: 8000, WaitingJobs: 17000, RunningJobs: 17000}},
+		Hosts: []api.HostStatus{{Host: long, Zone: long, Leaving: true}},
+	}
+	jobs := []api.Job{{ID: long, Organisation: long, State: "cancelled", Tasks: 512, Accelerators: 8, Zone: api.NewOptString(long)}}
+	var out strings.Builder
+	writeStatus(&out, status)
+	table(&out, jobRows(jobs))
+	for _, l := range strings.Split(out.String(), "\n") {
+		if len(l) > lineWidth {
+			t.Errorf("%d columns: %s", len(l), l)
+		}
+	}
+}
+
+// TestKeepOut guards against a published file that is older than the last 'zone out'
+// and takes the zone back into service.
+func TestKeepOut(t *testing.T) {
+	data, err := os.ReadFile("../../examples/kerherve/daisyfold.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, _ := config.Parse("next", data)
+	out, err := config.SetZone(data, "brest", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current, _ := config.Parse("current", out)
+	got, kept, err := keepOut(data, next, current)
+	if err != nil || string(got) != string(out) || len(kept) != 1 || kept[0] != "brest" {
+		t.Errorf("kept %v, error %v", kept, err)
+	}
+	if changes := config.Diff(current, next); len(changes) > 0 {
+		t.Errorf("got changes %v", changes)
+	}
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/api"
+	"github.com/daisyfold/daisyfold/internal/apierror"
 )
 
 const (
@@ -57,8 +58,9 @@
 	return f(ctx, client)
 }
 
-// failover sends a request to the first daemon that accepts a connection. After bytes
-// were sent to one daemon it never tries another.
+// failover sends a request to the first daemon that takes it. It tries the next one
+// only when the connection was refused or the daemon said that it is leaving or has no
+// configuration; in each case nothing ran.
 type failover struct {
 	bases []*url.URL
 	http  *http.Client
@@ -108,15 +110,36 @@
 	if err != nil {
 		return nil, err
 	}
-	var last error
+	var resp *http.Response
 	for _, base := range f.bases {
-		resp, err := f.http.Do(aimAt(req, base, body))
-		if err == nil || !refused(err) {
-			return resp, err
+		next, nextErr := f.http.Do(aimAt(req, base, body))
+		switch {
+		case nextErr != nil && !refused(nextErr):
+			return nil, nextErr
+		case nextErr == nil && !turnedAway(next):
+			return next, nil
+		case nextErr == nil:
+			resp, err = next, nil
+		case resp == nil:
+			err = nextErr
 		}
-		last = err
 	}
-	return nil, last
+	return resp, err
+}
+
+// turnedAway reports whether a daemon takes no work now. The answer stays readable.
+func turnedAway(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return false
+	}
+	data, err := readAll(resp.Body)
+	resp.Body = io.NopCloser(bytes.NewReader(data))
+	var answer api.Error
+	if err != nil || answer.UnmarshalJSON(data) != nil || answer.Outcome != api.ErrorOutcomeNotRun {
+		return false
+	}
+	code := apierror.Code(answer.Code)
+	return code == apierror.CodeLeaving || code == apierror.CodeNoConfig
 }
 
 // aimAt returns a copy of the request for another daemon.
--- a/internal/cli/job_list.go
+++ b/internal/cli/job_list.go
@@ -33,11 +33,11 @@
 }
 
 func jobRows(jobs []api.Job) [][]string {
-	rows := [][]string{{"ORGANISATION", "ID", "STATE", "GANG", "ZONE"}}
+	rows := [][]string{{"ID", "STATE", "GANG", "ZONE", "ORGANISATION"}}
 	for i := range jobs {
 		j := &jobs[i]
 		gang := fmt.Sprintf("%dx%d", j.Tasks, j.Accelerators)
-		rows = append(rows, []string{cut(j.Organisation, 18), cut(j.ID, 36), string(j.State), gang, cut(j.Zone.Or("-"), 10)})
+		rows = append(rows, []string{cut(j.ID, 36), string(j.State), gang, cut(j.Zone.Or("-"), 9), cut(j.Organisation, 12)})
 	}
 	return rows
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -27,9 +27,14 @@
 	return err
 }
 
-// line writes one line, wrapped.
+// line writes one line, wrapped. Spaces at its start indent all of it.
 func line(w io.Writer, format string, args ...any) {
-	for _, l := range wrap(fmt.Sprintf(format, args...), "  ") {
+	text := fmt.Sprintf(format, args...)
+	indent := text[:len(text)-len(strings.TrimLeft(text, " "))]
+	for i, l := range wrap(text, indent+"  ") {
+		if i == 0 {
+			l = indent + l
+		}
 		_, _ = fmt.Fprintln(w, l)
 	}
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -47,9 +47,9 @@
 	rows := [][]string{{"ZONE", "SERVICE", "WORKERS", "TARGETS", "FREE", "FRAGMENTED", "EVIDENCE"}}
 	for _, z := range zones {
 		rows = append(rows, []string{
-			cut(z.Zone, 18), either(z.InService, "in", "out"), strconv.Itoa(z.Workers), strconv.Itoa(z.Targets),
+			cut(z.Zone, 14), either(z.InService, "in", "out"), strconv.Itoa(z.Workers), strconv.Itoa(z.Targets),
 			fmt.Sprintf("%d/%d", z.AcceleratorsFree.Or(0), z.AcceleratorsTotal.Or(0)),
-			fmt.Sprintf("%.0f %%", 100*z.Fragmentation.Or(0)), cut(z.Evidence, 16),
+			fmt.Sprintf("%.0f %%", 100*z.Fragmentation.Or(0)), cut(z.Evidence, 14),
 		})
 	}
 	return rows
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -69,6 +69,7 @@
 		{"three kinds behind a missing comma", `"inService": true /* since May */,`, `"inService": 1 "colour": 2, `,
 			[]string{"t:4:60: must be true or false, not 1", "t:4:62: invalid character", "t:4:62: unknown field"}},
 		{"unit outside quotes", `"deadline": "1h"`, `"deadline": 1h`, []string{"t:15:73: invalid literal: 1h"}},
+		{"too long", "// two zones", "//" + strings.Repeat(" ", MaxTextBytes), []string{"t:1:1: the text has "}},
 		{"no end", "  ],\n}\n", "  ],\n", []string{"t:21:1: parsing value: unexpected EOF"}},
 	}
 	for _, c := range cases {
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,14 +1,24 @@
 package config
 
 import (
+	"fmt"
+
 	"github.com/daisyfold/daisyfold/internal/finding"
 	"github.com/daisyfold/daisyfold/internal/jsontext"
 )
 
+// MaxTextBytes bounds the text. Its record must fit into one append to the log, which
+// is at most 256 KB, and the record's base64 adds a third.
+const MaxTextBytes = 180 << 10
+
 // Parse reads and checks the operators' text. File is used in findings only. When
 // there are findings the text holds only the values without one, or is nil when the
 // text could not be read at all.
 func Parse(file string, data []byte) (*Text, finding.List) {
+	if len(data) > MaxTextBytes {
+		message := fmt.Sprintf("the text has %d bytes; allowed are %d", len(data), MaxTextBytes)
+		return nil, finding.List{{File: file, Line: 1, Column: 1, Message: message}}
+	}
 	doc := jsontext.Check(file, data, Schema)
 	if !doc.Readable() {
 		doc.Findings.Sort()
