Keep badly written names and bound the nesting of texts

Cause: a zone name with a capital letter also reported each reference to it; a large body needs a test through the generated client. Change: names with a fault stay usable for references; tests for nesting and for bodies at and over 1 MB with the generated client. Conclusion: one fault in a name is one finding.

--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -1,9 +1,12 @@
 package apiserver
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -254,3 +257,43 @@
 		t.Errorf("got %d %s", got.Code, got.Body)
 	}
 }
+
+// keySource gives the generated client its key.
+type keySource string
+
+func (k keySource) Bearer(context.Context, api.OperationName) (api.Bearer, error) {
+	return api.Bearer{Token: string(k)}, nil
+}
+
+// TestGeneratedClient guards against answers that the generated client cannot read, and
+// against bodies of undeclared length that pass the bound.
+func TestGeneratedClient(t *testing.T) {
+	f, deps := setup(t)
+	server := httptest.NewServer(NewHandler(deps))
+	defer server.Close()
+	client, err := api.NewClient(server.URL, keySource("schools-key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	call := func(body io.Reader) ([]byte, error) {
+		answer, err := client.CallService(t.Context(), api.CallServiceReq{Data: body}, api.CallServiceParams{Service: "exchange"})
+		if err != nil {
+			return nil, err
+		}
+		return io.ReadAll(answer.Response)
+	}
+	largest := strings.Repeat("x", maxBodyBytes)
+	if got, err := call(strings.NewReader(largest)); err != nil || string(got) != largest {
+		t.Errorf("the largest body: %d bytes came back, error %v", len(got), err)
+	}
+	f.call = CallRequest{}
+	_, err = call(io.MultiReader(strings.NewReader(largest), strings.NewReader("x")))
+	var refused *api.ErrorStatusCode
+	if !errors.As(err, &refused) || refused.StatusCode != http.StatusRequestEntityTooLarge || f.call.ID != "" {
+		t.Errorf("a body over the bound got %v", err)
+	}
+	job, err := client.ShowJob(t.Context(), api.ShowJobParams{ID: "schools-1"})
+	if err != nil || job.State != api.JobStateRunning {
+		t.Errorf("got %v, error %v", job, err)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,6 +32,9 @@
 }
 `
 
+// maxDeep is a nesting that would exhaust the stack of a parser without a bound.
+const maxDeep = 60_000
+
 // TestParseFindings guards against faults that are accepted, reported at the wrong
 // place, or that hide the faults behind them.
 func TestParseFindings(t *testing.T) {
@@ -69,6 +72,10 @@
 		{"three kinds behind a missing comma", `"inService": true /* since May */,`, `"inService": 1 "colour": 2, `,
 			[]string{"t:4:60: must be true or false, not 1", "t:4:62: invalid character", "t:4:62: unknown field"}},
 		{"unit outside quotes", `"deadline": "1h"`, `"deadline": 1h`, []string{"t:15:73: invalid literal: 1h"}},
+		{"bad name with references", `["exchange"]},
+    {"name": "exchange"`, `["Exchange"]},
+    {"name": "Exchange"`, []string{`t:16:14: "Exchange" must be lower-case letters`}},
+		{"deep nesting", "// two zones", strings.Repeat("[", maxDeep), []string{"t:1:1: more than 50000 brackets"}},
 		{"too long", "// two zones", "//" + strings.Repeat(" ", MaxTextBytes), []string{"t:1:1: the text has "}},
 		{"no end", "  ],\n}\n", "  ],\n", []string{"t:21:1: parsing value: unexpected EOF"}},
 	}
--- a/internal/jsontext/walk.go
+++ b/internal/jsontext/walk.go
@@ -132,7 +132,9 @@
 	case !f.Bound.contains(float64(len(text))):
 		d.Add(path, "%d bytes long; allowed are %s", len(text), f.Bound)
 	case f.Format != nil && !f.Format.Valid(text):
+		// The text is kept, so that references to a badly written name still match it.
 		d.Add(path, "%q must be %s", text, f.Format.Name)
+		return text, true
 	default:
 		return text, true
 	}
