Bound the nesting of texts below a daemon's memory

Cause: the parser of JSON with comments recurses at each bracket. Change: at most 10,000 brackets; errors of zone edits and certificates are trace errors; a wrapped typed error keeps its outcome.

--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -18,6 +18,7 @@
 	"github.com/daisyfold/daisyfold/internal/blackboard"
 	"github.com/daisyfold/daisyfold/internal/finding"
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/gravitational/trace"
 )
 
 const octets = "application/octet-stream"
@@ -55,6 +56,7 @@
 		{name: "unknown zone", method: "POST", path: "/v1/zones/none", key: "operator-key", body: `{"id": "a", "inService": false}`, status: 404, outcome: notRun, code: apierror.CodeNotFound},
 		{name: "text with findings", method: "POST", path: "/v1/config", key: "operator-key", body: `{"id": "a", "baseVersion": 1, "text": "{}"}`, status: 400, outcome: notRun, code: apierror.CodeBadInput},
 		{name: "refused job", method: "POST", path: "/v1/jobs", key: "schools-key", body: job, err: apierror.NotRun(apierror.CodeQuota, "full"), status: 429, outcome: notRun, code: apierror.CodeQuota},
+		{name: "wrapped error of a job", method: "POST", path: "/v1/jobs", key: "schools-key", body: job, err: trace.Wrap(apierror.NotRun(apierror.CodeLeaving, "leaving")), status: 503, outcome: notRun, code: apierror.CodeLeaving},
 		{name: "untyped error of a job", method: "POST", path: "/v1/jobs", key: "schools-key", body: job, err: errors.New("broken"), status: 500, outcome: unknown, code: apierror.CodeInternal},
 		{name: "untyped error of a cancellation", method: "POST", path: "/v1/jobs/schools-1/cancel", key: "schools-key", err: errors.New("broken"), status: 500, outcome: unknown, code: apierror.CodeInternal},
 		{name: "failed wait", method: "GET", path: "/v1/jobs/schools-1/wait", key: "schools-key", err: errors.New("broken"), status: 500, outcome: unknown, code: apierror.CodeInternal},
--- a/internal/auth/tls.go
+++ b/internal/auth/tls.go
@@ -4,14 +4,13 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/settings"
+	"github.com/gravitational/trace"
 )
 
 // fileState tells one version of a file from the next.
@@ -107,11 +106,11 @@
 func loadPool(caFile string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(caFile)
 	if err != nil {
-		return nil, err
+		return nil, trace.ConvertSystemError(err)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
-		return nil, fmt.Errorf("%s holds no certificate", caFile)
+		return nil, trace.BadParameter("%s holds no certificate", caFile)
 	}
 	return pool, nil
 }
@@ -124,7 +123,7 @@
 	}
 	certs := newCertReloader(s.CertFile, s.KeyFile)
 	if _, err := certs.get(); err != nil {
-		return nil, err
+		return nil, trace.Wrap(err, "certificate for callers")
 	}
 	return &tls.Config{
 		MinVersion:     tls.VersionTLS12,
@@ -153,8 +152,8 @@
 	pools := newPoolReloader(s.PeerCAFile)
 	_, certErr := certs.get()
 	_, poolErr := pools.get()
-	if err := errors.Join(certErr, poolErr); err != nil {
-		return nil, err
+	if err := trace.NewAggregate(certErr, poolErr); err != nil {
+		return nil, trace.Wrap(err, "certificates between daemons")
 	}
 	return &PeerTLS{Server: peerServer(certs, pools), Dial: peerDialer(certs, pools)}, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/gravitational/trace"
 )
 
 // goodText is a text without findings; the tests below replace parts of it.
@@ -32,7 +33,8 @@
 }
 `
 
-// maxDeep is a nesting that would exhaust the stack of a parser without a bound.
+// maxDeep is a nesting that takes over 64 MB of stack in a parser without a bound,
+// twice the memory of a daemon.
 const maxDeep = 60_000
 
 // TestParseFindings guards against faults that are accepted, reported at the wrong
@@ -75,7 +77,7 @@
 		{"bad name with references", `["exchange"]},
     {"name": "exchange"`, `["Exchange"]},
     {"name": "Exchange"`, []string{`t:16:14: "Exchange" must be lower-case letters`}},
-		{"deep nesting", "// two zones", strings.Repeat("[", maxDeep), []string{"t:1:1: more than 50000 brackets"}},
+		{"deep nesting", "// two zones", strings.Repeat("[", maxDeep), []string{"t:1:1: more than 10000 brackets"}},
 		{"too long", "// two zones", "//" + strings.Repeat(" ", MaxTextBytes), []string{"t:1:1: the text has "}},
 		{"no end", "  ],\n}\n", "  ],\n", []string{"t:21:1: parsing value: unexpected EOF"}},
 	}
@@ -152,8 +154,8 @@
 	if err != nil || string(out) != want {
 		t.Fatalf("err %v, text:\n%s", err, out)
 	}
-	if _, err := SetZone([]byte(goodText), "brest", false); err == nil {
-		t.Error("an unknown zone was accepted")
+	if _, err := SetZone([]byte(goodText), "brest", false); !trace.IsNotFound(err) {
+		t.Errorf("an unknown zone got error %v", err)
 	}
 }
 
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -4,15 +4,16 @@
 	"fmt"
 
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/gravitational/trace"
 	"github.com/tailscale/hujson"
 )
 
 // SetZone returns the text with the inService value of one zone replaced. All other
-// bytes, comments included, stay as they are.
+// bytes, comments included, stay as they are. An unknown zone is a trace.NotFound error.
 func SetZone(data []byte, zone model.Zone, inService bool) ([]byte, error) {
 	root, err := hujson.Parse(append([]byte(nil), data...))
 	if err != nil {
-		return nil, fmt.Errorf("the text cannot be read: %w", err)
+		return nil, trace.Wrap(err, "the text cannot be read")
 	}
 	value, err := findInService(&root, zone)
 	if err != nil {
@@ -26,7 +27,7 @@
 func findInService(root *hujson.Value, zone model.Zone) (*hujson.Value, error) {
 	zones := member(root, "availabilityZones")
 	if zones == nil {
-		return nil, fmt.Errorf("the text has no availability zones")
+		return nil, trace.BadParameter("the text has no availability zones")
 	}
 	array, _ := zones.Value.(*hujson.Array)
 	for i := 0; array != nil && i < len(array.Elements); i++ {
@@ -36,9 +37,9 @@
 		if value := member(&array.Elements[i], "inService"); value != nil {
 			return value, nil
 		}
-		return nil, fmt.Errorf("zone %q has no field inService", zone)
+		return nil, trace.BadParameter("zone %q has no field inService", zone)
 	}
-	return nil, fmt.Errorf("there is no availability zone %q", zone)
+	return nil, trace.NotFound("there is no availability zone %q", zone)
 }
 
 // member returns the value of a member of an object, or nil.
--- a/internal/jsontext/parse.go
+++ b/internal/jsontext/parse.go
@@ -11,9 +11,9 @@
 const (
 	// maxRepairs bounds the syntax faults that one pass reports.
 	maxRepairs = 20
-	// maxOpeners bounds the brackets of a text. The parser recurses at each of them,
-	// and a megabyte of brackets would exhaust the stack.
-	maxOpeners = 50_000
+	// maxOpeners bounds the brackets of a text, as the parser recurses at each of them:
+	// 1,000,000 nested brackets exhaust the stack, 50,000 take 64 MB of it.
+	maxOpeners = 10_000
 )
 
 // syntaxFault is a syntax error at an offset in the original text.
