--- a/internal/jsontext/parse.go
+++ b/internal/jsontext/parse.go
@@ -11,9 +11,9 @@
 const (
 	// maxRepairs bounds the syntax faults that one pass reports.
 	maxRepairs = 20
-	// maxOpeners bounds the brackets of a text. The parser recurses at each of them,
-	// and a megabyte of brackets would exhaust the stack.
-	maxOpeners = 50_000
+	// maxOpeners bounds the brackets of a text, as the parser recurses at each of them:
+	// 1,000,000 nested brackets exhaust the stack, 50,000 take 64 MB of it.
+	maxOpeners = 10_000
 )
 
 // syntaxFault is a syntax error at an offset in the original text.
@@ -62,7 +62,16 @@
 		return 0, message
 	}
 	_, cause, _ := strings.Cut(strings.TrimPrefix(message, "hujson: "), ": ")
-	return offsetOf(p.text, line, column), cause
+	return offsetOf(p.text, line, column), shorten(strings.Join(strings.Fields(cause), " "))
+}
+
+// shorten cuts a text that a message quotes.
+func shorten(s string) string {
+	const maxShown = 80
+	if len(s) <= maxShown {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxShown], "") + "..."
 }
 
 // repair changes the text so that parsing can go on behind the fault at offset.
