--- a/internal/configsync/pending.go
+++ b/internal/configsync/pending.go
@@ -23,8 +23,9 @@
 	// took the change comes first; the others step in if it is gone.
 	originWait = 500 * time.Millisecond
 	holderWait = 1500 * time.Millisecond
-	// pendingAppendTimeout bounds one attempt to append a pending change.
-	pendingAppendTimeout = 5 * time.Second
+	// pendingAppendTimeout bounds one attempt to append a pending change; it covers
+	// an append and its reading back on a very slow log.
+	pendingAppendTimeout = 20 * time.Second
 )
 
 // pendingChange is a zone change that is not in the log yet.
@@ -144,7 +145,7 @@
 	var upSince time.Time
 	for ctx.Err() == nil {
 		wait(ctx, nil, pendingPeriod)
-		if !s.opts.Journal.State().Reachable || !s.ready() {
+		if !s.opts.Journal.State().Answering || !s.ready() {
 			upSince = time.Time{}
 			continue
 		}
--- a/internal/configsync/publish.go
+++ b/internal/configsync/publish.go
@@ -86,7 +86,7 @@
 	if version, err := s.earlier(id, text); version > 0 || err != nil {
 		return version, err
 	}
-	if !s.opts.Journal.State().Reachable || !s.ready() {
+	if !s.opts.Journal.State().Answering || !s.ready() {
 		return 0, apierror.NotRun(apierror.CodeLogUnavailable, "the log service cannot be read")
 	}
 	if current := s.folded().Version; base < current {
--- a/internal/configsync/zone.go
+++ b/internal/configsync/zone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
@@ -36,7 +37,7 @@
 	if s.inForce() == 0 {
 		return "", 0, apierror.NotRun(apierror.CodeNoConfig, "this host has no configuration")
 	}
-	version, err = s.publishZone(ctx, id, zone, inService)
+	version, err = s.publishZoneNow(ctx, id, zone, inService)
 	if err == nil {
 		return s.acceptedZone(ctx, version, zone, inService)
 	}
@@ -56,18 +57,28 @@
 	return StateAccepted, version, nil
 }
 
-// publishZone edits the folded text and publishes it until it is accepted. It gives
-// up as soon as the log is unreachable, to leave time for the pending change.
-func (s *Sync) publishZone(ctx context.Context, id string, zone model.Zone, inService bool) (int64, error) {
+// publishZoneNow is publishZone that gives up as soon as the log is unreachable, to
+// leave time for the pending change.
+func (s *Sync) publishZoneNow(ctx context.Context, id string, zone model.Zone, inService bool) (int64, error) {
+	if !s.opts.Journal.State().Reachable {
+		return 0, apierror.NotRun(apierror.CodeLogUnavailable, "the log service cannot be read")
+	}
 	ctx, cancel := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	defer watch.Wait()
 	defer cancel()
-	go s.cancelWhenDown(ctx, cancel)
+	watch.Go(func() { s.cancelWhenDown(ctx, cancel) })
+	return s.publishZone(ctx, id, zone, inService)
+}
+
+// publishZone edits the folded text and publishes it until it is accepted.
+func (s *Sync) publishZone(ctx context.Context, id string, zone model.Zone, inService bool) (int64, error) {
 	for {
 		if version := s.acceptedAs(id); version > 0 {
 			return version, nil
 		}
-		if !s.opts.Journal.State().Reachable || !s.ready() {
-			return 0, apierror.NotRun(apierror.CodeLogUnavailable, "the log service cannot be read")
+		if !s.ready() {
+			return 0, apierror.NotRun(apierror.CodeLogUnavailable, "the config stream is not read yet")
 		}
 		state := s.folded()
 		text, err := s.editZone(state.Text, zone, inService)
@@ -76,18 +87,19 @@
 		}
 		err = s.appendEdit(ctx, id, state.Version, text)
 		version, err := s.judge(id, state.Version, text, err)
-		var e *apierror.Error
-		if errors.As(err, &e) && (e.Code == apierror.CodeVersionConflict || e.Code == apierror.CodeIDReused) {
-			// Another edit came first, or another holder published this change on
-			// another base; the next round sees which.
-			if ctx.Err() == nil {
-				continue
-			}
+		if ctx.Err() != nil || !raced(err) {
+			return version, err
 		}
-		return version, err
 	}
 }
 
+// raced reports whether another edit came first, or another holder published the
+// same change on another base.
+func raced(err error) bool {
+	var e *apierror.Error
+	return errors.As(err, &e) && (e.Code == apierror.CodeVersionConflict || e.Code == apierror.CodeIDReused)
+}
+
 func (s *Sync) cancelWhenDown(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		if !s.opts.Journal.State().Reachable {
--- a/internal/journal/health.go
+++ b/internal/journal/health.go
@@ -84,7 +84,7 @@
 func (h *health) state() State {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return State{Reachable: h.reachable(), LastHead: h.lastHead}
+	return State{Reachable: h.reachable(), Answering: h.answering(), LastHead: h.lastHead}
 }
 
 func (h *health) reachable() bool {
@@ -103,12 +103,9 @@
 func (h *health) appendDelay() (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.now()
-	if !h.lastOK {
-		return 0, false
-	}
-	if !h.sent.IsZero() && now.Sub(h.sent) > h.wait+holdAppendsAfter {
-		return 0, false
-	}
-	return h.resumeAt.Sub(now), true
+	return h.resumeAt.Sub(h.now()), h.answering()
+}
+
+func (h *health) answering() bool {
+	return h.lastOK && (h.sent.IsZero() || h.now().Sub(h.sent) <= h.wait+holdAppendsAfter)
 }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -174,8 +174,12 @@
 
 // State is the host's view of the log service.
 type State struct {
-	// Reachable is false while reads fail.
+	// Reachable is false while reads fail or are answered more than a second late:
+	// start evidence from such a log is always too old.
 	Reachable bool
+	// Answering is true while reads are answered, however late, so that appends
+	// make progress.
+	Answering bool
 	// LastHead is when a read of the config stream last reached its head, measured
 	// at the moment the request was sent. Zero if never.
 	LastHead time.Time
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -15,7 +15,7 @@
 // beatZone sends one heartbeat to every host of the own zone.
 func (m *Membership) beatZone(ctx context.Context) {
 	for _, p := range m.zonePeers(m.opts.Self.Zone) {
-		go m.beat(ctx, p, zoneTimeout)
+		m.calls.Go(func() { m.beat(ctx, p, zoneTimeout) })
 	}
 }
 
@@ -27,7 +27,7 @@
 	zones := m.otherZones()
 	m.mu.Unlock()
 	for _, z := range zones {
-		go m.beatOneOf(ctx, z, turn)
+		m.calls.Go(func() { m.beatOneOf(ctx, z, turn) })
 	}
 }
 
@@ -77,7 +77,7 @@
 		return
 	}
 	sortPeers(silent)
-	go m.beat(ctx, silent[turn%len(silent)], crossTimeout)
+	m.calls.Go(func() { m.beat(ctx, silent[turn%len(silent)], crossTimeout) })
 }
 
 // Announce sends a heartbeat to every host at once and waits for the answers. It
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -96,6 +96,7 @@
 type Membership struct {
 	opts     Options
 	observer Observer
+	calls    sync.WaitGroup // heartbeats in flight
 
 	mu      sync.Mutex
 	peers   map[model.HostID]*peerState
@@ -119,7 +120,7 @@
 // Attach sets the observer. It must be called before Run.
 func (m *Membership) Attach(o Observer) { m.observer = o }
 
-// Run sends heartbeats until ctx ends.
+// Run sends heartbeats until ctx ends and waits for those in flight.
 func (m *Membership) Run(ctx context.Context) error {
 	m.updateTable()
 	g, ctx := errgroup.WithContext(ctx)
@@ -127,7 +128,9 @@
 	g.Go(func() error { return every(ctx, crossPeriod, func() { m.beatZones(ctx) }) })
 	g.Go(func() error { return every(ctx, probePeriod, func() { m.probeSilent(ctx) }) })
 	g.Go(func() error { return every(ctx, tablePeriod, m.updateTable) })
-	return trace.Wrap(g.Wait())
+	err := g.Wait()
+	m.calls.Wait()
+	return trace.Wrap(err)
 }
 
 // every calls f now and then once a period until ctx ends.
