--- a/internal/configsync/publish.go
+++ b/internal/configsync/publish.go
@@ -109,7 +109,7 @@
 	defer t.Stop()
 	for {
 		state := s.opts.Journal.State()
-		if state.Reachable && s.ready() {
+		if state.Answering && s.ready() {
 			return true
 		}
 		if !state.LastHead.IsZero() && s.ready() {
