Add the scenario runner and the first scenarios

Cause: failures of hosts, links, log and workers need repeatable runs with real daemons. Conclusion: to be run against the daemon.

--- a/cmd/daisyfold-load/main.go
+++ b/cmd/daisyfold-load/main.go
@@ -42,6 +42,18 @@
 	return run(func(ctx context.Context) (bool, error) { return load.Demo(ctx, c.options()) })
 }
 
+type scenariosCommand struct {
+	common
+	Name string `long:"name" description:"run only this scenario"`
+	Dir  string `long:"dir" default:"test/scenarios" description:"directory of the scripts"`
+}
+
+// Execute implements flags.Commander.
+func (c *scenariosCommand) Execute([]string) error {
+	options := load.ScenarioOptions{Options: c.options(), Dir: c.Dir, Name: c.Name}
+	return run(func(ctx context.Context) (bool, error) { return load.Scenarios(ctx, options) })
+}
+
 // errBroken is returned when the run ended and broke a promise; its details are
 // printed by then.
 var errBroken = fmt.Errorf("a promise was broken")
@@ -66,6 +78,7 @@
 		data       any
 	}{
 		{"demo", "run the demo", &demoCommand{}},
+		{"scenarios", "run the scenarios", &scenariosCommand{}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.help, c.help, c.data); err != nil {
--- a/internal/load/links.go
+++ b/internal/load/links.go
@@ -71,14 +71,15 @@
 }
 
 // each calls change for every link between an end that a matches and one that b
-// matches, in both directions.
-func (l *links) each(a, b func(end string) bool, change func(*faultproxy.Proxy)) int {
+// matches. forward is true when a's end opens the connections.
+func (l *links) each(a, b func(end string) bool, change func(proxy *faultproxy.Proxy, forward bool)) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
 	for _, one := range l.all {
-		if (a(one.from) && b(one.to)) || (a(one.to) && b(one.from)) {
-			change(one.proxy)
+		forward := a(one.from) && b(one.to)
+		if forward || (a(one.to) && b(one.from)) {
+			change(one.proxy, forward)
 			n++
 		}
 	}
