Retry the demo's first text and keep the judged records

Cause: a daemon refuses edits before its first read of the log, and a broken promise could not be traced afterwards. Change: the first publish is retried; ledger and history are written beside the daemons' logs.

--- a/internal/load/demo.go
+++ b/internal/load/demo.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -132,7 +134,12 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	if err := callers.publish(ctx, "example", 0, string(text)); err != nil {
+	// A daemon refuses edits until it has read the log for the first time.
+	err = c.await(ctx, "the first configuration", func() (bool, string) {
+		err := callers.publish(ctx, "example", 0, string(text))
+		return err == nil, fmt.Sprint(err)
+	})
+	if err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(c.AwaitReady(ctx))
@@ -147,7 +154,23 @@
 	if err != nil {
 		return judge.Verdict{}, trace.Wrap(err)
 	}
-	return judge.Judge(l, r.snapshot()), nil
+	history := r.snapshot()
+	if err := c.keep("ledger.json", l); err != nil {
+		return judge.Verdict{}, trace.Wrap(err)
+	}
+	if err := c.keep("history.json", history); err != nil {
+		return judge.Verdict{}, trace.Wrap(err)
+	}
+	return judge.Judge(l, history), nil
+}
+
+// keep writes what the judge read beside the daemons' logs.
+func (c *Cluster) keep(name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.ConvertSystemError(os.WriteFile(filepath.Join(c.dir, name), data, 0o600))
 }
 
 // progress reports a step on the error output.
