--- a/internal/calls/entries.go
+++ b/internal/calls/entries.go
@@ -39,16 +39,19 @@
 	key     callKey
 	digest  string
 	service model.Service
-	done    chan struct{} // closed when res is set
+	done    chan struct{} // closed when res is set; nil in a promise
 
 	// Guarded by the table's lock.
 	cancel     context.CancelFunc
 	repeatable bool
-	withdrawn  bool // this run has not sent the request and never will
-	callers    int
-	res        result
-	expires    time.Time
-	place      *list.Element
+	intent     string // unique id of this run's intent, once it may be in the log
+	// withdrawn is set when this host has not sent the request and never will. It
+	// outlives the run as a promise, because other hosts may rely on it.
+	withdrawn bool
+	callers   int
+	res       result
+	expires   time.Time
+	place     *list.Element
 }
 
 // entries is the table of the requests that this host has seen.
@@ -67,24 +70,36 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	e = t.byKey[p.key]
-	if e != nil {
-		if e.digest != "" && (e.digest != p.digest || e.service != p.req.Service) {
-			return nil, false, apierror.NotRun(apierror.CodeIDReused, "request id %s was used with another body or service", p.key.id)
-		}
-		e.callers++
-		return e, false, nil
+	old := t.byKey[p.key]
+	if old != nil && old.digest != "" && (old.digest != p.digest || old.service != p.req.Service) {
+		return nil, false, idReused(p.key.id)
+	}
+	if old != nil && old.done != nil {
+		old.callers++
+		return old, false, nil
 	}
-	if !t.makeRoom() {
+	if old == nil && !t.makeRoom() {
 		return nil, false, apierror.NotRun(apierror.CodeOverloaded, "this host remembers %d non-repeatable requests and takes no more", maxEntries)
 	}
 	e = &entry{key: p.key, digest: p.digest, service: p.req.Service, done: make(chan struct{})}
 	e.repeatable = p.service.repeatable
 	e.callers = 1
+	if old != nil {
+		t.remove(old)
+		e.withdrawn, e.intent = true, old.intent
+	}
 	t.byKey[p.key] = e
 	return e, true, nil
 }
 
+func idReused(id string) *apierror.Error {
+	return apierror.NotRun(apierror.CodeIDReused, "request id %s was used with another body or service", id)
+}
+
+func refusedBefore(id string) *apierror.Error {
+	return apierror.NotRun(apierror.CodeIDReused, "request %s was refused before and will not run; use a new id", id)
+}
+
 // started stores how the run is stopped when nobody waits for it any more.
 func (t *entries) started(e *entry, cancel context.CancelFunc) {
 	t.mu.Lock()
@@ -99,20 +114,7 @@
 	return e.res
 }
 
-// state returns the result and whether the run has ended, and otherwise whether it
-// was withdrawn.
-func (t *entries) state(e *entry) (res result, ended, withdrawn bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	select {
-	case <-e.done:
-		return e.res, true, false
-	default:
-		return result{}, false, e.withdrawn
-	}
-}
-
-// withdraw notes that the run will not send the request. e may be nil.
+// withdraw notes that this host will not send the request. e may be nil.
 func (t *entries) withdraw(e *entry) {
 	if e == nil {
 		return
@@ -122,6 +124,20 @@
 	e.withdrawn = true
 }
 
+// isWithdrawn reports whether this host promised not to send the request.
+func (t *entries) isWithdrawn(e *entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.withdrawn
+}
+
+// setIntent notes the intent of the run before it is appended.
+func (t *entries) setIntent(e *entry, uniqueID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.intent = uniqueID
+}
+
 // finish stores the result. Results that say nothing about later submissions are
 // forgotten at once.
 func (t *entries) finish(now time.Time, e *entry, res result) {
@@ -129,14 +145,24 @@
 	defer t.mu.Unlock()
 	e.res = res
 	close(e.done)
-	if !res.final {
+	switch {
+	case res.final:
+	case e.withdrawn:
+		e = &entry{key: e.key, digest: e.digest, service: e.service, intent: e.intent, withdrawn: true}
+		t.byKey[e.key] = e
+	default:
 		delete(t.byKey, e.key)
 		return
 	}
+	t.keep(now, e)
+	t.bytes += len(e.res.answer.Body)
+	t.dropBodies()
+}
+
+// keep starts the time for which a finished entry or a promise is kept.
+func (t *entries) keep(now time.Time, e *entry) {
 	e.expires = now.Add(keepTime)
 	e.place = t.finished.PushBack(e)
-	t.bytes += len(res.answer.Body)
-	t.dropBodies()
 }
 
 // abandon notes that a caller went away. A repeatable run that nobody waits for is
@@ -150,25 +176,44 @@
 	}
 }
 
-// promise returns the entry of the key, or nil after it has recorded that this host
-// will not send the request.
-func (t *entries) promise(now time.Time, key callKey) (*entry, bool) {
+// peerView is what the table knows of a request when another host asks.
+type peerView struct {
+	answer    PeerAnswer
+	intent    string // of the run at this host
+	withdrawn bool
+}
+
+// promise returns what is known of the key. If that is nothing, this host will not
+// send the request from now on.
+func (t *entries) promise(now time.Time, key callKey) peerView {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if e := t.byKey[key]; e != nil {
-		return e, true
+	e := t.byKey[key]
+	if e == nil {
+		if !t.makeRoom() {
+			return peerView{answer: PeerAnswer{Outcome: PeerUnknown}}
+		}
+		e = &entry{key: key, withdrawn: true}
+		t.byKey[key] = e
+		t.keep(now, e)
 	}
-	if !t.makeRoom() {
-		return nil, false
+	return peerView{answer: e.peerAnswer(), intent: e.intent, withdrawn: e.withdrawn}
+}
+
+// peerAnswer is the entry's state for another host.
+func (e *entry) peerAnswer() PeerAnswer {
+	ended := e.place != nil && e.done != nil
+	switch {
+	case !ended && e.withdrawn:
+		return PeerAnswer{Outcome: PeerNone}
+	case !ended:
+		return PeerAnswer{Outcome: PeerInProgress}
+	case e.res.err != nil:
+		return PeerAnswer{Outcome: PeerOutcome(e.res.err.Outcome)}
+	default:
+		return PeerAnswer{Outcome: PeerRan, Status: e.res.answer.Status, Body: e.res.answer.Body}
 	}
-	e := &entry{key: key, done: make(chan struct{}), expires: now.Add(keepTime)}
-	e.res = result{final: true, err: apierror.NotRun(apierror.CodeUnknownOutcome,
-		"request %s was refused at another host; use a new id", key.id)}
-	close(e.done)
-	t.byKey[key] = e
-	e.place = t.finished.PushBack(e)
-	return nil, true
 }
 
 // expire forgets entries whose time is up.
--- a/internal/calls/once.go
+++ b/internal/calls/once.go
@@ -39,6 +39,7 @@
 		BodyDigest:   p.digest,
 		UniqueID:     uuid.NewString(),
 	}
+	s.entries.setIntent(e, in.UniqueID)
 	if err := s.appendIntent(ctx, p, in); err != nil {
 		s.background(journal.KindCallCancelled, cancellation(in))
 		return s.settle(ctx, p, e, apierror.NotRun(apierror.CodeLogUnavailable, "the intent of request %s was not recorded: %v", p.req.ID, err))
@@ -156,7 +157,7 @@
 // never sends the request.
 func (s *Service) follow(ctx context.Context, p *plan, known callState) result {
 	if known.digest != p.digest || known.service != p.req.Service {
-		return result{err: apierror.NotRun(apierror.CodeIDReused, "request id %s was used with another body or service", p.req.ID)}
+		return result{err: idReused(p.req.ID)}
 	}
 	s.stats.followed.Add(1)
 	for pause := followFirst; ; pause = min(2*pause, followMax) {
@@ -191,12 +192,12 @@
 		return result{}, false
 	}
 	switch a.Outcome {
-	case PeerRan, PeerNotRun, PeerWithdrawn:
+	case PeerRan, PeerNotRun:
 		return a.result(p.req.ID), true
-	case PeerNone, PeerUnknown:
+	case PeerUnknown:
 		// The host restarted after its intent, or does not know itself.
 		return unknownOutcome(p.req.ID, host), true
-	default:
+	default: // in progress, or the host has not read its own intent back
 		return result{}, false
 	}
 }
--- a/internal/calls/peers.go
+++ b/internal/calls/peers.go
@@ -18,12 +18,10 @@
 	PeerNotRun     PeerOutcome = "not_run"
 	PeerUnknown    PeerOutcome = "unknown"
 	PeerInProgress PeerOutcome = "in_progress"
-	// PeerNone says that the host knows nothing of the request and from now on
-	// refuses it, so the asking host may answer not_run.
+	// PeerNone says that the host has not sent the request and never will, but
+	// does not know whether another host did. An asking host that hears it from
+	// all others may answer not_run.
 	PeerNone PeerOutcome = "none"
-	// PeerWithdrawn says that the host has not sent the request and never will,
-	// but does not know whether another host did.
-	PeerWithdrawn PeerOutcome = "withdrawn"
 )
 
 // PeerAnswer is a host's knowledge of a request. Status is 0 and Body empty when a
@@ -36,8 +34,8 @@
 
 func (a PeerAnswer) result(id string) result {
 	switch {
-	case a.Outcome == PeerNotRun || a.Outcome == PeerWithdrawn:
-		return result{final: true, err: apierror.NotRun(apierror.CodeUnknownOutcome, "request %s was refused and will not run; use a new id", id)}
+	case a.Outcome == PeerNotRun:
+		return result{final: true, err: refusedBefore(id)}
 	case a.Status == 0:
 		return result{final: true, err: answerNotKept(id)}
 	default:
@@ -73,35 +71,24 @@
 // nothing of it, it promises not to send it, so that the other host's refusal holds.
 func (s *Service) Outcome(org model.Organisation, request string) PeerAnswer {
 	key := callKey{org: org, id: request}
-	e, ok := s.entries.promise(time.Now(), key)
-	if known, logged := s.cfg.Table.get(key); logged && (e == nil || known.outcome != "") {
-		return known.peerAnswer()
-	}
+	view := s.entries.promise(time.Now(), key)
+	known, logged := s.cfg.Table.get(key)
 	switch {
-	case e != nil:
-		return s.entryAnswer(e)
-	case !ok || !s.cfg.Journal.Replayed(journal.StreamCalls):
+	case logged && known.outcome != "":
+		return known.peerAnswer()
+	case logged && known.uniqueID != view.intent:
+		// Another host's intent, or one of an earlier incarnation of this host.
+		return PeerAnswer{Outcome: PeerUnknown}
+	case logged && view.withdrawn:
+		return PeerAnswer{Outcome: PeerNotRun}
+	case view.answer.Outcome == PeerNone && !s.cfg.Journal.Replayed(journal.StreamCalls):
 		// An earlier incarnation of this host may have sent it.
 		return PeerAnswer{Outcome: PeerUnknown}
 	default:
-		return PeerAnswer{Outcome: PeerNone}
+		return view.answer
 	}
 }
 
-func (s *Service) entryAnswer(e *entry) PeerAnswer {
-	res, ended, withdrawn := s.entries.state(e)
-	if !ended && withdrawn && s.cfg.Journal.Replayed(journal.StreamCalls) {
-		return PeerAnswer{Outcome: PeerWithdrawn}
-	}
-	if !ended {
-		return PeerAnswer{Outcome: PeerInProgress}
-	}
-	if res.err == nil {
-		return PeerAnswer{Outcome: PeerRan, Status: res.answer.Status, Body: res.answer.Body}
-	}
-	return PeerAnswer{Outcome: PeerOutcome(res.err.Outcome)}
-}
-
 // refuse ends a request that this host does not carry out. An earlier submission of
 // a non-repeatable request may have run at another host, so not_run is said only
 // when the others confirm it.
@@ -129,13 +116,15 @@
 		switch a.Outcome {
 		case PeerRan, PeerNotRun:
 			return a.result(p.req.ID)
-		case PeerNone, PeerWithdrawn:
+		case PeerNone:
 		default:
 			clear = false
 		}
 	}
 	if clear {
-		return result{err: refusal, final: true}
+		// Not final: a host that restarts forgets its promise, so the next
+		// submission asks again.
+		return result{err: refusal}
 	}
 	return result{err: apierror.Unknown(refusal.Code, "%s; another host may have run it", refusal.Message)}
 }
--- a/internal/calls/service.go
+++ b/internal/calls/service.go
@@ -152,6 +152,9 @@
 		defer s.leave()
 		defer cancel()
 		var res result
+		if s.entries.isWithdrawn(e) {
+			refusal = refusedBefore(p.req.ID)
+		}
 		switch {
 		case refusal != nil:
 			res = s.refuse(run, p, e, refusal)
