--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -155,7 +155,7 @@
 
 // record makes the acceptance durable in the log or, while it is down, on peers.
 func (s *Service) record(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
-	if s.Journal.State().Reachable {
+	if s.Journal.State().Answering {
 		_, err := s.Journal.Append(ctx, journal.StreamJobs, rec)
 		if err == nil {
 			return s.acceptedAnswer(spec)
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	if s.Journal.State().Reachable {
+	if s.Journal.State().Answering {
 		cctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		if _, err = s.Journal.Append(cctx, journal.StreamJobs, rec); err == nil {
@@ -167,7 +167,7 @@
 // writeToPeers keeps a record on one other host during a log outage. Without any
 // other host the record is kept here only: the workers still hold the tasks' state.
 func (s *Shard) writeToPeers(ctx context.Context, rec journal.Record) error {
-	if s.Journal.State().Reachable {
+	if s.Journal.State().Answering {
 		return errors.New("the append was not answered in time")
 	}
 	records := []journal.StreamRecord{{Stream: journal.StreamJobs, Record: rec}}
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -82,7 +82,7 @@
 func (h *host) State() journal.State {
 	h.world.log.mu.Lock()
 	defer h.world.log.mu.Unlock()
-	return journal.State{Reachable: !h.world.log.down}
+	return journal.State{Reachable: !h.world.log.down, Answering: !h.world.log.down}
 }
 
 // Replayed implements journal.Journal.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -68,7 +68,7 @@
 		}
 	}
 	foreign := map[model.JobKey]*jobs.Entry{}
-	if !s.Journal.State().Reachable {
+	if !s.Journal.State().Answering {
 		return waiting, foreign
 	}
 	for _, e := range s.Jobs.WaitingElsewhere(s.id, maxForeign) {
--- a/internal/shard/reconcile.go
+++ b/internal/shard/reconcile.go
@@ -83,7 +83,7 @@
 // orphanDue reports whether tasks of an unknown job have been seen long enough to
 // be stopped. Its records may still be on their way from the log.
 func (s *Shard) orphanDue(k attemptKey) bool {
-	if !s.Journal.State().Reachable {
+	if !s.Journal.State().Answering {
 		return false
 	}
 	s.mu.Lock()
