Pack guarantees with fewer false refusals

Cause: the check refused three guarantees that fit: workers without a zone went before whole racks and broke the only free one. Measured: the new case 'racks go before workers' fails with the old order; tests of config, settings and apiserver pass. Conclusion: the packing stays greedy and may still refuse an unlucky mix.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,6 +120,25 @@
 		{"pinned fours share a worker", []Guarantee{
 			{Zone: "vannes", Shape: shape(four, 1, worker), Shapes: 2},
 			{Shape: shape(worker, 1, worker), Shapes: 3}}, true},
+		{"pinned workers go first", []Guarantee{
+			{Shape: shape(worker, 2, rack), Shapes: 1},
+			{Zone: "quimper", Shape: shape(worker, 2, rack), Shapes: 1}}, true},
+		{"racks go before workers", []Guarantee{
+			{Zone: "vannes", Shape: shape(worker, 1, worker), Shapes: 1},
+			{Shape: shape(worker, 1, worker), Shapes: 1},
+			{Shape: shape(worker, 2, rack), Shapes: 1}}, true},
+		{"zones go last", []Guarantee{
+			{Shape: shape(worker, 2, model.LevelZone), Shapes: 1},
+			{Zone: "quimper", Shape: shape(worker, 1, worker), Shapes: 1},
+			{Shape: shape(worker, 1, worker), Shapes: 1}}, true},
+		{"parts of workers are used up first", []Guarantee{
+			{Zone: "vannes", Shape: shape(four, 1, worker), Shapes: 1},
+			{Zone: "vannes", Shape: shape(model.LevelAccelerator, 4, rack), Shapes: 1},
+			{Shape: shape(worker, 1, worker), Shapes: 3}}, true},
+		{"the fullest rack is used first", []Guarantee{
+			{Zone: "vannes", Shape: shape(worker, 1, worker), Shapes: 1},
+			{Shape: shape(worker, 1, rack), Shapes: 1},
+			{Shape: shape(four, 4, rack), Shapes: 1}}, true},
 		{"single accelerators fill all", []Guarantee{{Shape: shape(model.LevelAccelerator, 1, worker), Shapes: 32}}, true},
 		{"one accelerator too many", []Guarantee{{Shape: shape(model.LevelAccelerator, 1, worker), Shapes: 33}}, false},
 	}
--- a/internal/config/fit.go
+++ b/internal/config/fit.go
@@ -24,10 +24,10 @@
 }
 
 // guaranteesFit packs all guarantees into the declared hardware. Guarantees with a
-// zone go first, then those that can go anywhere; in each group larger cells go
-// first, which leaves no gaps between aligned cells. The packing of whole racks is
-// greedy, so a text that fills racks to the last worker in an unlucky mix of counts
-// may be refused although it fits.
+// zone go first, then those that can go anywhere; in each group larger cells go first,
+// of equal cells those that may spread over a zone go last, and larger counts go
+// first. The packing is greedy, so a text that fills racks to the last worker in an
+// unlucky mix of counts may be refused although it fits.
 func (c *checker) guaranteesFit() {
 	if c.doc.Bad("availabilityZones") {
 		return
@@ -80,8 +80,6 @@
 	return all
 }
 
-var levelOrder = map[model.Level]int{model.LevelWorker: 0, model.LevelRack: 1, model.LevelZone: 2}
-
 func (d *demand) before(e *demand) bool {
 	if (d.Zone != "") != (e.Zone != "") {
 		return d.Zone != ""
@@ -89,8 +87,8 @@
 	if a, b := model.CellAccelerators(d.Shape.Cell), model.CellAccelerators(e.Shape.Cell); a != b {
 		return a > b
 	}
-	if a, b := levelOrder[d.Shape.Within], levelOrder[e.Shape.Within]; a != b {
-		return a < b
+	if a, b := d.Shape.Within == model.LevelZone, e.Shape.Within == model.LevelZone; a != b {
+		return b
 	}
 	return d.Shape.Count > e.Shape.Count
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,9 @@
 		{"key without certificate", `"drainSeconds": 20`, `"tls": {"keyFile": "settings.go"}`,
 			[]string{"s:7:22: keyFile stands alone: certFile is missing"}},
 		{"exporter without file", `"off"`, `"file"`, []string{`s:8:25: the exporter "file" needs the field "file"`}},
+		{"exporter without endpoint", `"off"`, `"otlp"`, []string{`s:8:25: the exporter "otlp" needs the field "endpoint"`}},
+		{"plain peers under TLS", `"drainSeconds": 20`, `"tls": {"peerCertFile": "check.go", "peerKeyFile": "check.go", "peerCAFile": "check.go"}`,
+			[]string{`s:5:65: "http://127.0.0.1:7202" must start with https://`}},
 		{"three kinds", `"drainSeconds": 20`, `"drainSeconds": 9999, "colour": 1, "log": {"level": "loud"}`,
 			[]string{"s:7:19: 9999 is out of range", `s:7:25: unknown field "colour"`, `s:7:55: "loud" is not allowed here`}},
 	}
