Report an unreachable job as unknown

Cause: 'job wait' exited with 4, not run and never will be, when no daemon could be reached, although the job may run. Change: a wait that gets no report ends with 3 and names the last cause; it goes on for 15 tries, longer than a takeover. Conclusion: exit code 4 of job wait now comes only from refusals of the caller.

--- a/internal/cli/job_wait.go
+++ b/internal/cli/job_wait.go
@@ -14,8 +14,9 @@
 	// waitSeconds is the length of one wait at a daemon.
 	waitSeconds = 20
 	// waitTries is how many waits in a row may fail. Waiting changes nothing, so it
-	// goes on at another daemon when one dies.
-	waitTries = 5
+	// goes on at another daemon when one dies; with waitPause the tries last longer
+	// than the 5 s in which a failed daemon's work is taken over.
+	waitTries = 15
 	// waitPause separates waits after a failure or an early answer.
 	waitPause = 500 * time.Millisecond
 )
@@ -57,16 +58,17 @@
 func (c *waitCommand) wait(ctx context.Context, client *api.Client, p *progress) (*api.Job, error) {
 	failures := 0
 	var last *api.Job
-	for {
+	cause := context.DeadlineExceeded
+	for ctx.Err() == nil && failures < waitTries {
 		job, err := c.ask(ctx, client)
 		switch {
-		case ctx.Err() != nil && last != nil:
-			return last, nil
+		case err != nil && ctx.Err() != nil:
+			cause = errors.Join(cause, err)
+		case err != nil && !worthRepeating(err):
+			return nil, err
 		case err != nil:
 			failures++
-			if failures == waitTries || !worthRepeating(err) {
-				return nil, err
-			}
+			cause = err
 		case model.JobState(job.State).Final():
 			return job, nil
 		default:
@@ -76,6 +78,10 @@
 		}
 		pause(ctx, waitPause)
 	}
+	if last != nil && ctx.Err() != nil {
+		return last, nil
+	}
+	return nil, stateUnknown(cause)
 }
 
 func (c *waitCommand) ask(ctx context.Context, client *api.Client) (*api.Job, error) {
@@ -98,6 +104,13 @@
 	return !errors.As(err, &answer) || answer.StatusCode >= 500
 }
 
+// stateUnknown returns the failure for a job that no daemon reported on. Whether the
+// wait itself ran does not matter to the caller.
+func stateUnknown(err error) error {
+	cause := asFailure(err)
+	return newFailure(exitUnknown, model.OutcomeUnknown, apierror.Code(cause.Code), "the state of the job is unknown: "+cause.Message)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
