--- a/internal/config/fit.go
+++ b/internal/config/fit.go
@@ -24,10 +24,9 @@
 }
 
 // guaranteesFit packs all guarantees into the declared hardware. Guarantees with a
-// zone go first, then those that can go anywhere; in each group larger cells go
-// first, which leaves no gaps between aligned cells. The packing of whole racks is
-// greedy, so a text that fills racks to the last worker in an unlucky mix of counts
-// may be refused although it fits.
+// zone go first, then those that can go anywhere; in each group larger cells go first,
+// and of equal cells larger counts. The packing is greedy, so a text that fills racks to
+// the last worker in an unlucky mix of counts may be refused although it fits.
 func (c *checker) guaranteesFit() {
 	if c.doc.Bad("availabilityZones") {
 		return
@@ -80,8 +79,6 @@
 	return all
 }
 
-var levelOrder = map[model.Level]int{model.LevelWorker: 0, model.LevelRack: 1, model.LevelZone: 2}
-
 func (d *demand) before(e *demand) bool {
 	if (d.Zone != "") != (e.Zone != "") {
 		return d.Zone != ""
@@ -89,9 +86,6 @@
 	if a, b := model.CellAccelerators(d.Shape.Cell), model.CellAccelerators(e.Shape.Cell); a != b {
 		return a > b
 	}
-	if a, b := levelOrder[d.Shape.Within], levelOrder[e.Shape.Within]; a != b {
-		return a < b
-	}
 	return d.Shape.Count > e.Shape.Count
 }
 
