Give each daemon of a scenario a host list of its own

Change: POST /control/lists opens a host list on a port of its own whose workers and targets stand behind a proxy; the emulator serves all targets at one port in scenarios; the load tool notices at once when a daemon ends during the start.

--- a/cmd/daisyfold-emulator/main.go
+++ b/cmd/daisyfold-emulator/main.go
@@ -24,6 +24,7 @@
 	Workers    int      `long:"workers" default:"12" description:"workers in each zone (without --deployment)"`
 	Targets    int      `long:"targets" default:"6" description:"targets in each zone (without --deployment)"`
 	Services   []string `long:"service" default:"exchange" default:"orders" description:"services of the targets, in turn (without --deployment)"`
+	OnePort    bool     `long:"one-port" description:"serve all targets at the listen address, whatever the file says; no limit of connections applies"`
 	Seed       uint64   `long:"seed" default:"1" description:"seed of the service times"`
 }
 
@@ -59,6 +60,7 @@
 	if o.Deployment != "" {
 		d, err := emulator.Load(o.Deployment)
 		d.Seed = o.Seed
+		d.TargetPorts = d.TargetPorts && !o.OnePort
 		return d, err
 	}
 	d := emulator.Default()
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -75,9 +75,9 @@
 	mux.HandleFunc("POST /targets/{id}/call", e.serveTarget)
 	mux.HandleFunc("POST /streams/{stream}/append", e.log.serveAppend)
 	mux.HandleFunc("GET /streams/{stream}/records", e.log.serveRead)
-	mux.HandleFunc("GET /hosts", e.list.serve(e.base))
-	mux.HandleFunc("GET /via/{authority}/hosts", e.list.serve(e.base))
+	mux.HandleFunc("GET /hosts", e.list.serve)
 	mux.HandleFunc("POST /control/faults", e.serveFaults)
+	mux.HandleFunc("POST /control/lists", e.serveNewList)
 	mux.HandleFunc("GET /control/ledger", e.serveLedger)
 	mux.HandleFunc("GET /control/stats", e.serveStats)
 	return mux
--- a/internal/emulator/hosts.go
+++ b/internal/emulator/hosts.go
@@ -65,27 +65,25 @@
 	return h.published, h.down
 }
 
-// serve answers GET /hosts and GET /via/{authority}/hosts. The second gives the
-// workers and targets of path mode addresses at another authority, so that a
-// scenario can put a proxy between one daemon and them.
-func (h *hostList) serve(base string) http.HandlerFunc {
-	return func(rw http.ResponseWriter, r *http.Request) {
-		list, down := h.get()
-		if down {
-			http.Error(rw, "the host list is down", http.StatusServiceUnavailable)
-			return
-		}
-		tag := strconv.Quote(strconv.FormatInt(list.Version, 10))
-		rw.Header().Set("ETag", tag)
-		if r.Header.Get("If-None-Match") == tag {
-			rw.WriteHeader(http.StatusNotModified)
-			return
-		}
-		if via := r.PathValue("authority"); via != "" {
-			list = rebase(list, base, "http://"+via)
-		}
-		writeJSON(rw, http.StatusOK, list)
+// serve answers GET /hosts.
+func (h *hostList) serve(rw http.ResponseWriter, r *http.Request) {
+	h.answer(rw, r, func(list hostlist.List) hostlist.List { return list })
+}
+
+// answer answers with the list after a change of its addresses.
+func (h *hostList) answer(rw http.ResponseWriter, r *http.Request, change func(hostlist.List) hostlist.List) {
+	list, down := h.get()
+	if down {
+		http.Error(rw, "the host list is down", http.StatusServiceUnavailable)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatInt(list.Version, 10))
+	rw.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		rw.WriteHeader(http.StatusNotModified)
+		return
 	}
+	writeJSON(rw, http.StatusOK, change(list))
 }
 
 // rebase replaces the base URL of the workers and targets.
--- a/internal/emulator/listen.go
+++ b/internal/emulator/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/daisyfold/daisyfold/internal/platform/hostlist"
 )
 
 // shutdownTimeout bounds the wait for open calls when the emulator ends.
@@ -78,6 +81,43 @@
 	return nil
 }
 
+// ListRequest is the body of POST /control/lists: it asks for a second host list
+// on a port of its own, in which the workers and targets of this port have
+// addresses at Authority. A scenario puts a proxy there, between one daemon and
+// the workers.
+type ListRequest struct {
+	Authority string `json:"authority"` // host:port
+}
+
+// ListAnswer holds the host:port of the new list. It serves until the process
+// ends.
+type ListAnswer struct {
+	Address string `json:"address"`
+}
+
+// serveNewList answers POST /control/lists.
+func (e *Emulator) serveNewList(rw http.ResponseWriter, r *http.Request) {
+	var request ListRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(rw http.ResponseWriter, r *http.Request) {
+		e.list.answer(rw, r, func(list hostlist.List) hostlist.List {
+			return rebase(list, e.base, "http://"+request.Authority)
+		})
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	writeJSON(rw, http.StatusOK, ListAnswer{Address: listener.Addr().String()})
+}
+
 // limitedListener closes connections beyond its limit at once.
 type limitedListener struct {
 	net.Listener
--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -98,9 +99,12 @@
 		return trace.Wrap(err)
 	}
 	c.base = "http://" + addresses[0]
+	args := []string{"--listen", addresses[0], "--deployment", o.Deployment, "--seed", fmt.Sprint(o.Seed)}
+	if o.Proxies {
+		args = append(args, "--one-port") // the proxies stand before that port
+	}
 	c.emulator, err = startProcess("emulator", filepath.Join(c.dir, "emulator.log"),
-		filepath.Join(c.bin, "daisyfold-emulator"),
-		"--listen", addresses[0], "--deployment", o.Deployment, "--seed", fmt.Sprint(o.Seed))
+		filepath.Join(c.bin, "daisyfold-emulator"), args...)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -164,7 +168,17 @@
 	if c.links == nil {
 		return s, nil
 	}
-	return s, trace.Wrap(c.links.route(&s, c.base))
+	return s, trace.Wrap(c.links.route(&s, strings.TrimPrefix(c.base, "http://"), c.newList))
+}
+
+// newList asks the emulator for a host list whose workers and targets are at the
+// given address.
+func (c *Cluster) newList(workers string) (string, error) {
+	var answer emulator.ListAnswer
+	ctx, cancel := context.WithTimeout(context.Background(), controlLimit)
+	defer cancel()
+	err := c.post(ctx, "/control/lists", emulator.ListRequest{Authority: workers}, &answer)
+	return answer.Address, trace.Wrap(err)
 }
 
 // host returns the host with the given id.
@@ -288,13 +302,18 @@
 		if !h.current().running() {
 			continue
 		}
+		ended := false
 		err := c.await(ctx, fmt.Sprintf("%s of %s", what, h.id), func() (bool, string) {
+			ended = !h.current().running()
 			status, body, err := c.get(ctx, "http://"+h.api+"/readyz")
 			if err != nil {
-				return false, err.Error()
+				return ended, err.Error()
 			}
-			return good(status), body
+			return ended || good(status), body
 		})
+		if ended {
+			return trace.Errorf("%s ended by itself, see %s", h.id, h.logPath)
+		}
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -336,11 +355,16 @@
 
 // SetFaults changes the platform's faults.
 func (c *Cluster) SetFaults(ctx context.Context, f emulator.Faults) error {
-	data, err := json.Marshal(f)
+	return trace.Wrap(c.post(ctx, "/control/faults", f, nil))
+}
+
+// post calls the emulator's control API.
+func (c *Cluster) post(ctx context.Context, path string, body, answer any) error {
+	data, err := json.Marshal(body)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/control/faults", bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -349,11 +373,17 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusNoContent {
-		body, _ := io.ReadAll(response.Body)
-		return trace.BadParameter("the emulator answered %d: %s", response.StatusCode, body)
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return trace.Wrap(err)
 	}
-	return nil
+	if response.StatusCode >= http.StatusBadRequest {
+		return trace.BadParameter("the emulator answered %d: %s", response.StatusCode, text)
+	}
+	if answer == nil {
+		return nil
+	}
+	return trace.Wrap(json.Unmarshal(text, answer))
 }
 
 // Ledger reads the platform's ledger.
--- a/internal/load/links.go
+++ b/internal/load/links.go
@@ -31,9 +31,9 @@
 
 func newLinks() *links { return &links{} }
 
-// route puts a proxy into each link that the settings name.
-func (l *links) route(s *daemonSettings, platform string) error {
-	address := strings.TrimPrefix(platform, "http://")
+// route puts a proxy into each link that the settings name. newList returns the
+// address of a host list whose workers and targets are at the given address.
+func (l *links) route(s *daemonSettings, address string, newList func(workers string) (string, error)) error {
 	logs, err := l.add(s.Host, endLog, address)
 	if err != nil {
 		return trace.Wrap(err)
@@ -42,12 +42,16 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	list, err := l.add(s.Host, endList, address)
+	own, err := newList(workers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	list, err := l.add(s.Host, endList, own)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	s.Platform.Log = "http://" + logs
-	s.Platform.HostList = "http://" + list + "/via/" + workers
+	s.Platform.HostList = "http://" + list
 	for i, peer := range s.Peers {
 		through, err := l.add(s.Host, string(peer.Host), strings.TrimPrefix(peer.Address, "http://"))
 		if err != nil {
