--- a/cmd/daisyfold-emulator/main.go
+++ b/cmd/daisyfold-emulator/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -22,6 +23,7 @@
 	Deployment string   `long:"deployment" description:"deployment file, JSON with comments"`
 	Zones      []string `long:"zone" description:"availability zone, repeatable (without --deployment)"`
 	Workers    int      `long:"workers" default:"12" description:"workers in each zone (without --deployment)"`
+	PerZone    int      `long:"workers-per-zone" description:"workers in each zone, whatever the file says"`
 	Targets    int      `long:"targets" default:"6" description:"targets in each zone (without --deployment)"`
 	Services   []string `long:"service" default:"exchange" default:"orders" description:"services of the targets, in turn (without --deployment)"`
 	OnePort    bool     `long:"one-port" description:"serve all targets at the listen address, whatever the file says; no limit of connections applies"`
@@ -60,6 +62,9 @@
 	if o.Deployment != "" {
 		d, err := emulator.Load(o.Deployment)
 		d.Seed = o.Seed
+		for i := range d.Zones {
+			d.Zones[i].Workers = cmp.Or(o.PerZone, d.Zones[i].Workers)
+		}
 		d.TargetPorts = d.TargetPorts && !o.OnePort
 		return d, err
 	}
--- a/cmd/daisyfold-load/main.go
+++ b/cmd/daisyfold-load/main.go
@@ -54,6 +54,13 @@
 	return run(func(ctx context.Context) (bool, error) { return load.Scenarios(ctx, options) })
 }
 
+type footprintCommand struct{ common }
+
+// Execute implements flags.Commander.
+func (c *footprintCommand) Execute([]string) error {
+	return run(func(ctx context.Context) (bool, error) { return load.Footprint(ctx, c.options()) })
+}
+
 // errBroken is returned when the run ended and broke a promise; its details are
 // printed by then.
 var errBroken = fmt.Errorf("a promise was broken")
@@ -78,6 +85,7 @@
 		data       any
 	}{
 		{"demo", "run the demo", &demoCommand{}},
+		{"footprint", "measure the daemons' CPU, memory and control traffic", &footprintCommand{}},
 		{"scenarios", "run the scenarios", &scenariosCommand{}},
 	}
 	for _, c := range commands {
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,6 +32,7 @@
 	listener net.Listener
 	server   string
 	wait     sync.WaitGroup
+	bytes    atomic.Int64
 
 	mu      sync.Mutex
 	changed chan struct{} // closed by every change of the faults
@@ -68,6 +70,9 @@
 // Address returns the address that clients use.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// Bytes returns the bytes that arrived at the proxy in both directions.
+func (p *Proxy) Bytes() int64 { return p.bytes.Load() }
+
 // change applies a change of the faults and wakes the pumps.
 func (p *Proxy) change(apply func()) {
 	p.mu.Lock()
@@ -207,6 +212,7 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		p.bytes.Add(int64(n))
 		if n > 0 && p.pass(l, d) {
 			_, writeErr := to.Write(buffer[:n])
 			if writeErr != nil {
--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -67,6 +67,8 @@
 	Deployment string // the emulator's deployment file
 	Seed       uint64
 	Proxies    bool // put a fault-injecting proxy into every link of a daemon
+	// WorkersPerZone replaces the number in the deployment file if it is not 0.
+	WorkersPerZone int
 }
 
 // StartCluster starts the emulator and two daemons in each of its zones.
@@ -100,6 +102,9 @@
 	}
 	c.base = "http://" + addresses[0]
 	args := []string{"--listen", addresses[0], "--deployment", o.Deployment, "--seed", fmt.Sprint(o.Seed)}
+	if o.WorkersPerZone > 0 {
+		args = append(args, "--workers-per-zone", fmt.Sprint(o.WorkersPerZone))
+	}
 	if o.Proxies {
 		args = append(args, "--one-port") // the proxies stand before that port
 	}
