--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
@@ -50,17 +52,30 @@
 	return trace.ConvertSystemError(os.WriteFile(path, data, 0o600))
 }
 
+// Addresses of daemons and emulators lie below the ports that Linux gives to
+// outgoing connections (from 32768 on), so that a connection cannot take an
+// address between its choice and its use. A daemon failed to start that way.
+const (
+	lowestPort  = 12_000
+	highestPort = 30_000
+	portTries   = 1000
+)
+
 // freeAddresses returns n loopback addresses that were free a moment ago.
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, trace.ConvertSystemError(err)
+			continue // in use
 		}
 		// Closed when all are known, so that no address comes twice.
 		defer func() { _ = listener.Close() }()
 		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses, nil
+	return nil, trace.LimitExceeded("found no %d free ports", n)
 }
