--- a/internal/calls/attempt.go
+++ b/internal/calls/attempt.go
@@ -110,8 +110,8 @@
 }
 
 func newRetry() *retryState {
-	b := routing.NewBackoff()
-	return &retryState{tried: map[model.TargetID]bool{}, delay: b.NextBackOff}
+	b := routing.NewBackoff(nil)
+	return &retryState{tried: map[model.TargetID]bool{}, delay: b.Next}
 }
 
 // again decides on a retry on another target and waits for the delay before it.
--- a/internal/routing/breaker.go
+++ b/internal/routing/breaker.go
@@ -3,8 +3,12 @@
 import "time"
 
 const (
-	// breakerFailures opens the breaker after so many failures in a row.
-	breakerFailures = 5
+	// breakerLimit opens the breaker when the weights of the results since the last
+	// success reach it: 5 failures, or 20 rejections, because a target that rejects
+	// may only be busy with other hosts' requests.
+	breakerLimit    = 20
+	failureWeight   = 4
+	rejectionWeight = 1
 	// breakerFirst and breakerMax bound how long the breaker stays open. It
 	// doubles with each failed probe.
 	breakerFirst = time.Second
@@ -16,11 +20,11 @@
 // breaker stops requests to a target that fails, apart from single probes. The
 // zero value is closed.
 type breaker struct {
-	failures int           // in a row while closed
-	pause    time.Duration // 0 while closed
-	until    time.Time     // no probe before
-	passed   int           // successful probes in a row
-	probing  bool          // a probe is in flight
+	weight  int           // of the results since the last success, while closed
+	pause   time.Duration // 0 while closed
+	until   time.Time     // no probe before
+	passed  int           // successful probes in a row
+	probing bool          // a probe is in flight
 }
 
 // open reports whether the breaker admits probes at most.
@@ -38,17 +42,20 @@
 }
 
 // observe takes in the end of a request.
-func (b *breaker) observe(now time.Time, ok bool) {
-	if b.open() {
-		b.observeOpen(now, ok)
+func (b *breaker) observe(now time.Time, k ResultKind) {
+	switch {
+	case b.open():
+		b.observeOpen(now, k == ResultOK)
 		return
-	}
-	if ok {
-		b.failures = 0
+	case k == ResultOK:
+		b.weight = 0
 		return
+	case k == ResultRejected:
+		b.weight += rejectionWeight
+	default:
+		b.weight += failureWeight
 	}
-	b.failures++
-	if b.failures >= breakerFailures {
+	if b.weight >= breakerLimit {
 		b.trip(now, breakerFirst)
 	}
 }
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -35,20 +35,37 @@
 	backoffMax   = 500 * time.Millisecond
 )
 
-// NewBackoff returns the delays between the attempts of one request: exponential
-// between 10 ms and 500 ms, with half of each delay random.
-func NewBackoff() backoff.BackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = backoffFirst
-	b.MaxInterval = backoffMax
-	b.RandomizationFactor = 0.5
-	return b
+// Backoff gives the delays between the attempts of one request: they double from
+// 10 ms to 500 ms, and half of each is random.
+type Backoff struct {
+	delays *backoff.ExponentialBackOff
+	random *rand.Rand
 }
 
+// NewBackoff returns the delays of one request. The global source of random numbers
+// is used if random is nil.
+func NewBackoff(random *rand.Rand) *Backoff {
+	d := backoff.NewExponentialBackOff()
+	d.InitialInterval = backoffFirst
+	d.MaxInterval = backoffMax
+	d.Multiplier = 2
+	d.RandomizationFactor = 0 // the jitter is added from random, so that runs repeat
+	return &Backoff{delays: d, random: random}
+}
+
+// Next returns the delay before the next attempt.
+func (b *Backoff) Next() time.Duration { return jitter(b.delays.NextBackOff(), b.random) }
+
 // Jitter returns a random duration of at least half of d and at most d.
-func Jitter(d time.Duration) time.Duration {
-	if d <= 1 {
+func Jitter(d time.Duration) time.Duration { return jitter(d, nil) }
+
+func jitter(d time.Duration, random *rand.Rand) time.Duration {
+	half := int64(d / 2)
+	if half <= 0 {
 		return d
 	}
-	return d/2 + rand.N(d/2)
+	if random == nil {
+		return d - time.Duration(rand.Int64N(half+1))
+	}
+	return d - time.Duration(random.Int64N(half+1))
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/daisyfold/daisyfold/internal/model"
 )
 
 // Policy picks one of the targets that fit a request. The product uses PowerOfTwo;
@@ -11,6 +13,8 @@
 type Policy interface {
 	// Name is the name in reports.
 	Name() string
+	// ranks reports whether slow and failing targets come after all others.
+	ranks() bool
 	// pick returns an element of fit, which is not empty, or nil to shed.
 	pick(now time.Time, fit []*targetState, v view) *targetState
 }
@@ -19,7 +23,6 @@
 type view struct {
 	random *rand.Rand
 	usual  float64 // seconds, mean latency of the service
-	pool   *pool
 }
 
 // PowerOfTwo compares two targets drawn at random by their cost: requests in
@@ -29,6 +32,8 @@
 // Name implements Policy.
 func (PowerOfTwo) Name() string { return "power_of_two" }
 
+func (PowerOfTwo) ranks() bool { return true }
+
 func (PowerOfTwo) pick(now time.Time, fit []*targetState, v view) *targetState {
 	i := v.random.IntN(len(fit))
 	if len(fit) == 1 {
@@ -50,6 +55,8 @@
 // Name implements Policy.
 func (Random) Name() string { return "random" }
 
+func (Random) ranks() bool { return false }
+
 func (Random) pick(_ time.Time, fit []*targetState, v view) *targetState {
 	return fit[v.random.IntN(len(fit))]
 }
@@ -60,6 +67,8 @@
 // Name implements Policy.
 func (*RoundRobin) Name() string { return "round_robin" }
 
+func (*RoundRobin) ranks() bool { return false }
+
 func (p *RoundRobin) pick(_ time.Time, fit []*targetState, _ view) *targetState {
 	p.next++
 	return fit[p.next%len(fit)]
@@ -85,6 +94,8 @@
 // Name implements Policy.
 func (*LeastLoaded) Name() string { return "least_loaded" }
 
+func (*LeastLoaded) ranks() bool { return false }
+
 func (p *LeastLoaded) pick(_ time.Time, fit []*targetState, v view) *targetState {
 	best := math.Inf(1)
 	var ties []*targetState
@@ -110,9 +121,9 @@
 }
 
 // ReportLoad dampens a sample of a target's load into its reported load.
-func (r *Router) ReportLoad(p *LeastLoaded, sample func(id string) float64) {
+func (r *Router) ReportLoad(p *LeastLoaded, sample func(model.TargetID) float64) {
 	for _, s := range r.targets {
-		fresh := sample(string(s.target.ID))
+		fresh := sample(s.target.ID)
 		s.load.value = p.Dampening*s.load.value + (1-p.Dampening)*fresh
 	}
 }
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -21,6 +21,9 @@
 	return &Ticket{Query: q, Arrived: arrived, Deadline: deadline, Ready: make(chan Choice, 1)}
 }
 
+// Waiting reports whether the ticket is in a queue.
+func (t *Ticket) Waiting() bool { return t.place != nil }
+
 const (
 	// queueLength bounds the waiting requests of one service at one host. Longer
 	// queues only delay the refusal: with 50 targets of 8 slots they hold more
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -155,11 +155,8 @@
 	if q.MaxInFlight > 0 && p.inFlight >= q.MaxInFlight {
 		return Choice{Reason: ReasonBusy}
 	}
-	if s := r.pick(now, p, q, true); s != nil {
-		return p.begin(s, ReasonOwnZone)
-	}
-	if s := r.pick(now, p, q, false); s != nil {
-		return p.begin(s, ReasonOtherZone)
+	if s, why := r.pick(now, p, q); s != nil {
+		return p.begin(s, why)
 	}
 	if len(q.Exclude) > 0 {
 		q.Exclude = nil
@@ -177,22 +174,39 @@
 	return Choice{Target: s.target, Reason: why, OK: true, state: s, pool: p}
 }
 
-// pick returns a target of the own zone, or of the others, or nil.
-func (r *Router) pick(now time.Time, p *pool, q Query, own bool) *targetState {
-	var fit []*targetState
+// pick returns a target that fits, or nil. Good targets of any zone come before slow
+// and failing ones, and within these two groups the own zone comes first.
+func (r *Router) pick(now time.Time, p *pool, q Query) (*targetState, Reason) {
+	var groups [4][]*targetState // good own, good other, bad own, bad other
 	for _, s := range p.targets {
-		if (s.target.Zone == r.zone) != own || !fits(now, s, q) {
+		if !fits(now, s, q) {
 			continue
 		}
 		if s.breaker.open() {
-			return s // a due probe goes first, so that capacity returns
+			return s, ReasonProbe // a due probe goes first, so that capacity returns
+		}
+		group := 0
+		if s.target.Zone != r.zone {
+			group++
 		}
-		fit = append(fit, s)
+		if !s.good(now, p.latency) && r.policy.ranks() {
+			group += 2
+		}
+		groups[group] = append(groups[group], s)
 	}
-	if len(fit) == 0 {
-		return nil
+	for i, fit := range groups {
+		if len(fit) == 0 {
+			continue
+		}
+		why := ReasonOwnZone
+		if i%2 == 1 {
+			why = ReasonOtherZone
+		}
+		if s := r.policy.pick(now, fit, view{random: r.random, usual: p.latency}); s != nil {
+			return s, why
+		}
 	}
-	return r.policy.pick(now, fit, view{random: r.random, usual: p.latency, pool: p})
+	return nil, ""
 }
 
 func fits(now time.Time, s *targetState, q Query) bool {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -38,8 +38,17 @@
 	forgetAfter = 30 * time.Second
 	// minSuccess bounds how far a low success rate pushes a target back.
 	minSuccess = 0.02
-	// limitGrowth is how many successes at the limit raise it by one request.
-	limitGrowth = 10
+	// rejectionGain is the weight of a rejection in the success rate. It is small
+	// because the limit already falls with each rejection.
+	rejectionGain = 0.02
+	// limitGrowth is how many successes at the limit raise it by one request. Other
+	// hosts use the same slots, so each raise may cost a rejection.
+	limitGrowth = 50
+	// slowFactor and minGood tell the targets that are used only when no other has
+	// a free slot: those slower than slowFactor times the usual or with a lower
+	// success rate than minGood.
+	slowFactor = 3
+	minGood    = 0.7
 )
 
 // targetState is what this host observed of one target.
@@ -84,6 +93,7 @@
 
 // observe takes in the end of an attempt.
 func (s *targetState) observe(now time.Time, r Result) {
+	atLimit := !s.free()
 	s.inFlight--
 	if r.Leaving {
 		s.leaving = true
@@ -93,13 +103,17 @@
 		return
 	}
 	ok := r.Kind == ResultOK
-	s.success = mix(s.successAt(now), boolValue(ok), successGain)
+	gain := successGain
+	if r.Kind == ResultRejected {
+		gain = rejectionGain
+	}
+	s.success = mix(s.successAt(now), boolValue(ok), gain)
 	if ok || r.Kind == ResultBroken {
 		s.observeLatency(r.Latency)
 	}
 	s.seen = now
-	s.breaker.observe(now, ok)
-	s.adaptLimit(r.Kind)
+	s.breaker.observe(now, r.Kind)
+	s.adaptLimit(r.Kind, atLimit)
 }
 
 func (s *targetState) observeLatency(d time.Duration) {
@@ -110,11 +124,11 @@
 	s.latency = mix(s.latency, d.Seconds(), latencyGain)
 }
 
-func (s *targetState) adaptLimit(k ResultKind) {
-	switch k {
-	case ResultRejected:
+func (s *targetState) adaptLimit(k ResultKind, atLimit bool) {
+	switch {
+	case k == ResultRejected:
 		s.limit = math.Max(1, float64(s.inFlight))
-	case ResultOK:
+	case k == ResultOK && atLimit:
 		s.limit = math.Min(float64(s.hardLimit()), s.limit+1/float64(limitGrowth))
 	}
 }
@@ -133,11 +147,18 @@
 	return mix(s.latency, usual, forgotten(now.Sub(s.seen)))
 }
 
-// cost ranks targets: the expected time of one more request, divided by the square
-// of the success rate so that a target that fails fast is not preferred.
+// cost ranks targets: the expected time of a request, raised by the share of slots
+// in use and divided by the square of the success rate, so that a target that fails
+// fast is not preferred.
 func (s *targetState) cost(now time.Time, usual float64) float64 {
 	p := math.Max(minSuccess, s.successAt(now))
-	return s.latencyAt(now, usual) * float64(s.inFlight+1) / (p * p)
+	used := float64(s.inFlight) / math.Max(1, s.limit)
+	return s.latencyAt(now, usual) * (1 + used) / (p * p)
+}
+
+// good reports whether the target is neither slow nor failing.
+func (s *targetState) good(now time.Time, usual float64) bool {
+	return s.latencyAt(now, usual) <= slowFactor*usual && s.successAt(now) >= minGood
 }
 
 // forgotten is the weight that observations of that age have lost, from 0 to 1.
