Judge slow targets against the usual latency of the service

Change: the usual latency is the lower of the mean of all calls and the median of the targets; targets at twice that come last.

--- a/internal/bench/requests.go
+++ b/internal/bench/requests.go
@@ -11,13 +11,15 @@
 const simRequests = 40_000
 
 // Requests measures routing: the figures of docs/design.md section 2.2, then all
-// policies under even and uneven load.
+// policies under even and uneven load and with a third of the targets slower.
 func Requests(seed int64) []Figure {
 	even := scenario{requests: simRequests, load: 0.8, skew: 1}
 	uneven := scenario{requests: simRequests, load: 0.6, skew: 3, longShare: 0.1, longFactor: 5, slow: 3, slowFactor: 2}
+	mixed := scenario{requests: simRequests, load: 0.4, skew: 1, slow: 4, slowFactor: 2.5}
 	figures := boundedRequests(seed)
 	figures = append(figures, comparePolicies(seed, "even", even)...)
-	return append(figures, comparePolicies(seed, "uneven", uneven)...)
+	figures = append(figures, comparePolicies(seed, "uneven", uneven)...)
+	return append(figures, comparePolicies(seed, "mixed", mixed)...)
 }
 
 // boundedRequests returns the figures that have a bound.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -22,7 +22,7 @@
 // view is what a policy may look at besides the targets.
 type view struct {
 	random *rand.Rand
-	usual  float64 // seconds, mean latency of the service
+	usual  float64 // seconds, usual latency of the service
 }
 
 // PowerOfTwo compares two targets drawn at random by their cost: requests in
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -4,7 +4,9 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -66,9 +68,12 @@
 // pool is the targets of one service, sorted by id so that choices repeat with the
 // same seed.
 type pool struct {
-	targets  []*targetState
-	inFlight int
-	latency  float64 // seconds, mean of the successful calls of all targets
+	targets   []*targetState
+	inFlight  int
+	successes int
+	mean      float64 // seconds, of all successful calls
+	median    float64 // seconds, of the targets' means
+	latency   float64 // seconds, the usual latency; 0 before the first success
 }
 
 // New returns a router without targets.
@@ -243,16 +248,37 @@
 	}
 }
 
-// observe takes a successful call into the mean latency of the service.
+// medianEvery is after how many successes the median is taken again, to keep its cost
+// small.
+const medianEvery = 16
+
+// observe takes in a successful call. The usual latency is the lower of the mean of
+// all calls, which are mostly on fast targets, and the median of the targets, which
+// a few busy slow ones do not move.
 func (p *pool) observe(d time.Duration) {
-	if p.latency == 0 {
-		p.latency = d.Seconds()
-		return
+	p.mean = blend(p.mean, d.Seconds(), latencyGain/float64(max(1, len(p.targets))))
+	p.successes++
+	if p.median == 0 || p.successes%medianEvery == 0 {
+		p.median = medianLatency(p.targets)
+	}
+	p.latency = min(p.mean, p.median)
+}
+
+func medianLatency(targets []*targetState) float64 {
+	means := make([]float64, 0, len(targets))
+	for _, s := range targets {
+		if s.latency > 0 {
+			means = append(means, s.latency)
+		}
+	}
+	if len(means) == 0 {
+		return math.Inf(1)
 	}
-	p.latency = mix(p.latency, d.Seconds(), latencyGain/float64(max(1, len(p.targets))))
+	slices.Sort(means)
+	return means[(len(means)-1)/2]
 }
 
-// Usual returns the mean latency of the service's successful calls, 0 if unknown.
+// Usual returns the usual latency of the service, 0 if unknown.
 func (r *Router) Usual(service model.Service) time.Duration {
 	p := r.services[service]
 	if p == nil {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -47,7 +47,7 @@
 	// slowFactor and minGood tell the targets that are used only when no other has
 	// a free slot: those slower than slowFactor times the usual or with a lower
 	// success rate than minGood.
-	slowFactor = 3
+	slowFactor = 2
 	minGood    = 0.7
 )
 
@@ -109,21 +109,13 @@
 	}
 	s.success = mix(s.successAt(now), boolValue(ok), gain)
 	if ok || r.Kind == ResultBroken {
-		s.observeLatency(r.Latency)
+		s.latency = blend(s.latency, r.Latency.Seconds(), latencyGain)
 	}
 	s.seen = now
 	s.breaker.observe(now, r.Kind)
 	s.adaptLimit(r.Kind, atLimit)
 }
 
-func (s *targetState) observeLatency(d time.Duration) {
-	if s.latency == 0 {
-		s.latency = d.Seconds()
-		return
-	}
-	s.latency = mix(s.latency, d.Seconds(), latencyGain)
-}
-
 func (s *targetState) adaptLimit(k ResultKind, atLimit bool) {
 	switch {
 	case k == ResultRejected:
@@ -139,7 +131,7 @@
 }
 
 // latencyAt is the mean latency, drawn towards usual by the time since the last
-// call; usual is the mean of all targets of the service.
+// call; usual is the usual latency of the service.
 func (s *targetState) latencyAt(now time.Time, usual float64) float64 {
 	if s.latency == 0 {
 		return usual
@@ -169,6 +161,14 @@
 	return 1 - math.Exp(-age.Seconds()/forgetAfter.Seconds())
 }
 
+// blend is mix, but the first sample, when old is 0, counts in full.
+func blend(old, sample, gain float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return mix(old, sample, gain)
+}
+
 func mix(old, sample, gain float64) float64 { return old + (sample-old)*gain }
 
 func boolValue(b bool) float64 {
