--- a/internal/calls/entries.go
+++ b/internal/calls/entries.go
@@ -131,6 +131,13 @@
 	return e.withdrawn
 }
 
+// intentOf returns the unique id of the run's intent, empty if it has none.
+func (t *entries) intentOf(e *entry) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.intent
+}
+
 // setIntent notes the intent of the run before it is appended.
 func (t *entries) setIntent(e *entry, uniqueID string) {
 	t.mu.Lock()
--- a/internal/calls/peers.go
+++ b/internal/calls/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
@@ -100,19 +101,22 @@
 }
 
 // settle finds out whether a request that this host will not send has run or may
-// still run at another host.
+// still run at another host. e is the request's entry at this host, if any.
 func (s *Service) settle(ctx context.Context, p *plan, e *entry, refusal *apierror.Error) result {
 	if p.assigned {
 		return result{err: refusal}
 	}
+	s.entries.withdraw(e)
 	if known, ok := s.cfg.Table.get(p.key); ok {
-		return s.follow(ctx, p, known)
+		return s.settleLogged(ctx, p, e, known, refusal)
 	}
 	s.stats.settled.Add(1)
-	s.entries.withdraw(e)
-	asked := s.askAll(ctx, p)
+	answers := s.askAll(ctx, p)
+	if known, ok := s.cfg.Table.get(p.key); ok {
+		return s.settleLogged(ctx, p, e, known, refusal)
+	}
 	clear := s.cfg.Journal.Replayed(journal.StreamCalls)
-	for _, a := range asked {
+	for _, a := range answers {
 		switch a.Outcome {
 		case PeerRan, PeerNotRun:
 			return a.result(p.req.ID)
@@ -129,27 +133,43 @@
 	return result{err: apierror.Unknown(refusal.Code, "%s; another host may have run it", refusal.Message)}
 }
 
+// settleLogged ends a withdrawn run whose request has an intent in the log. If that
+// is the run's own intent, no host sends the request.
+func (s *Service) settleLogged(ctx context.Context, p *plan, e *entry, known callState, refusal *apierror.Error) result {
+	if e != nil && known.uniqueID == s.entries.intentOf(e) {
+		return result{err: refusal, final: true}
+	}
+	return s.follow(ctx, p, known)
+}
+
+// askTries is how often a host that is alive is asked. A second question covers one
+// lost message without holding up a refusal for long.
+const askTries = 2
+
 // askAll asks every other member. A member that cannot be asked counts as unknown.
 func (s *Service) askAll(ctx context.Context, p *plan) []PeerAnswer {
 	members := s.cfg.Board.Members.List()
-	answers := make(chan PeerAnswer, len(members))
-	asked := 0
-	for _, m := range members {
-		if m.Host == s.cfg.Host {
-			continue
+	answers := make([]PeerAnswer, len(members))
+	var asking sync.WaitGroup
+	for i, m := range members {
+		switch {
+		case m.Host == s.cfg.Host:
+			answers[i] = PeerAnswer{Outcome: PeerNone}
+		case !m.Alive:
+			answers[i] = PeerAnswer{Outcome: PeerUnknown}
+		default:
+			asking.Go(func() { answers[i] = s.askTwice(ctx, p, m.Host) })
 		}
-		asked++
-		go func() {
-			a, err := s.ask(ctx, p, m.Host)
-			if err != nil {
-				a = PeerAnswer{Outcome: PeerUnknown}
-			}
-			answers <- a
-		}()
 	}
-	out := make([]PeerAnswer, 0, asked)
-	for range asked {
-		out = append(out, <-answers)
+	asking.Wait()
+	return answers
+}
+
+func (s *Service) askTwice(ctx context.Context, p *plan, host model.HostID) PeerAnswer {
+	for range askTries {
+		if a, err := s.ask(ctx, p, host); err == nil {
+			return a
+		}
 	}
-	return out
+	return PeerAnswer{Outcome: PeerUnknown}
 }
--- a/internal/calls/service_test.go
+++ b/internal/calls/service_test.go
@@ -83,11 +83,49 @@
 	})
 }
 
+// TestWithdrawnRunKeepsPromise guards against a host that tells another one that it
+// will not send a request, ends its own run as unknown and sends it later.
+func TestWithdrawnRunKeepsPromise(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.kill(1)
+		h := w.host(0)
+		h.logDown.Store(true)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := h.do("r", "once")
+			ended <- err
+		}()
+		synctest.Wait()
+		if a := h.svc.Outcome("o", "r"); a.Outcome != PeerNone {
+			t.Fatalf("outcome of a withdrawn run: %+v, want none", a)
+		}
+		expect(t, "first submission", <-ended, model.OutcomeUnknown, apierror.CodeLogUnavailable)
+		h.logDown.Store(false)
+		_, err := h.do("r", "once")
+		expect(t, "second submission", err, model.OutcomeUnknown, apierror.CodeIDReused)
+	})
+}
+
+// TestLateIntentIsCancelled guards against an intent that lands after its host gave
+// up and died, and leaves the request open although it never ran.
+func TestLateIntentIsCancelled(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.faults.Store(&faults{appendLate: 1})
+		_, err := w.host(0).do("r", "once")
+		expect(t, "intent not recorded", err, model.OutcomeNotRun, apierror.CodeLogUnavailable)
+		time.Sleep(appendTimeout + 3*time.Second)
+		w.faults.Store(&faults{})
+		w.kill(0)
+		_, err = w.host(1).do("r", "once")
+		expect(t, "other host", err, model.OutcomeNotRun, apierror.CodeIDReused)
+	})
+}
+
 // TestRestartedWinnerIsUnknown guards against a restarted host that denies a run of
 // its earlier incarnation because its memory is empty.
 func TestRestartedWinnerIsUnknown(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
-		w.faults.silentRan = 1
+		w.faults.Store(&faults{silentRan: 1})
 		ctx, cancel := context.WithTimeout(w.ctx, 500*time.Millisecond)
 		defer cancel()
 		go func() { _, _ = w.host(0).do("r", "once") }()
@@ -95,7 +133,7 @@
 		w.kill(0)
 		w.restart(0)
 		w.setMembers(nil)
-		w.faults.silentRan = 0
+		w.faults.Store(&faults{})
 		for i := range 2 {
 			_, err := w.host(i).do("r", "once")
 			expect(t, string(w.host(i).id), err, model.OutcomeUnknown, apierror.CodeUnknownOutcome)
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -31,7 +31,7 @@
 	ctx    context.Context
 	mu     sync.Mutex
 	random *rand.Rand
-	faults faults
+	faults atomic.Pointer[faults]
 	log    []journal.Record
 	grown  blackboard.Notifier
 	hosts  []*host
@@ -53,7 +53,8 @@
 }
 
 func newWorld(ctx context.Context, seed uint64, hosts int, f faults) *world {
-	w := &world{ctx: ctx, random: rand.New(rand.NewPCG(seed, 7)), faults: f, ledger: func(context.Context, string, string) {}}
+	w := &world{ctx: ctx, random: rand.New(rand.NewPCG(seed, 7)), ledger: func(context.Context, string, string) {}}
+	w.faults.Store(&f)
 	for i := range hosts {
 		w.hosts = append(w.hosts, w.start(model.HostID(fmt.Sprint("h", i))))
 	}
@@ -180,17 +181,17 @@
 func (h *host) Append(ctx context.Context, _ journal.Stream, r journal.Record) (int64, error) {
 	h.w.delay(ctx, 20*time.Millisecond)
 	switch {
-	case h.gone() || h.logDown.Load() || h.w.chance(h.w.faults.appendDropped):
+	case h.gone() || h.logDown.Load() || h.w.chance(h.w.faults.Load().appendDropped):
 		<-ctx.Done()
 		return 0, errLost
-	case h.w.chance(h.w.faults.appendLate):
+	case h.w.chance(h.w.faults.Load().appendLate):
 		go func() {
 			h.w.delay(h.w.ctx, 3*time.Second)
 			h.w.store(r)
 		}()
 		<-ctx.Done()
 		return 0, errLost
-	case h.w.chance(h.w.faults.appendLost):
+	case h.w.chance(h.w.faults.Load().appendLost):
 		h.w.store(r)
 		<-ctx.Done()
 		return 0, errLost
@@ -222,7 +223,7 @@
 // PeerOutcome implements Peers with lost questions and answers.
 func (h *host) PeerOutcome(ctx context.Context, id model.HostID, org model.Organisation, request string) (PeerAnswer, error) {
 	h.w.delay(ctx, 5*time.Millisecond)
-	if h.gone() || h.w.chance(h.w.faults.askLost/2) {
+	if h.gone() || h.w.chance(h.w.faults.Load().askLost/2) {
 		<-ctx.Done()
 		return PeerAnswer{}, errLost
 	}
@@ -233,7 +234,7 @@
 		}
 		a := peer.svc.Outcome(org, request)
 		h.w.delay(ctx, 5*time.Millisecond)
-		if h.w.chance(h.w.faults.askLost/2) || ctx.Err() != nil {
+		if h.w.chance(h.w.faults.Load().askLost/2) || ctx.Err() != nil {
 			return PeerAnswer{}, errLost
 		}
 		return a, nil
@@ -248,14 +249,14 @@
 		<-ctx.Done()
 		return targetlink.Answer{}, errLost
 	}
-	if h.w.chance(h.w.faults.rejected) {
+	if h.w.chance(h.w.faults.Load().rejected) {
 		return targetlink.Answer{}, &targetlink.NotRunError{Target: t.ID, Reason: "busy"}
 	}
-	if h.w.chance(h.w.faults.silent) {
+	if h.w.chance(h.w.faults.Load().silent) {
 		<-ctx.Done()
 		return targetlink.Answer{}, ctx.Err()
 	}
-	if h.w.chance(h.w.faults.silentRan) {
+	if h.w.chance(h.w.faults.Load().silentRan) {
 		go func() {
 			h.w.delay(h.w.ctx, 3*time.Second)
 			h.w.run(ctx, c.Request)
@@ -265,7 +266,7 @@
 	}
 	h.w.delay(ctx, 50*time.Millisecond)
 	token := h.w.run(ctx, c.Request)
-	if h.w.chance(h.w.faults.crossed) {
+	if h.w.chance(h.w.faults.Load().crossed) {
 		return targetlink.Answer{}, &targetlink.AttemptMismatchError{Target: t.ID}
 	}
 	if ctx.Err() != nil {
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -13,8 +13,8 @@
 type Policy interface {
 	// Name is the name in reports.
 	Name() string
-	// ranks reports whether slow and failing targets come after all others.
-	ranks() bool
+	// avoids reports whether the target comes after all others in any zone.
+	avoids(now time.Time, s *targetState, usual float64) bool
 	// pick returns an element of fit, which is not empty, or nil to shed.
 	pick(now time.Time, fit []*targetState, v view) *targetState
 }
@@ -32,7 +32,9 @@
 // Name implements Policy.
 func (PowerOfTwo) Name() string { return "power_of_two" }
 
-func (PowerOfTwo) ranks() bool { return true }
+func (PowerOfTwo) avoids(now time.Time, s *targetState, usual float64) bool {
+	return !s.good(now, usual)
+}
 
 func (PowerOfTwo) pick(now time.Time, fit []*targetState, v view) *targetState {
 	i := v.random.IntN(len(fit))
@@ -55,7 +57,7 @@
 // Name implements Policy.
 func (Random) Name() string { return "random" }
 
-func (Random) ranks() bool { return false }
+func (Random) avoids(time.Time, *targetState, float64) bool { return false }
 
 func (Random) pick(_ time.Time, fit []*targetState, v view) *targetState {
 	return fit[v.random.IntN(len(fit))]
@@ -67,7 +69,7 @@
 // Name implements Policy.
 func (*RoundRobin) Name() string { return "round_robin" }
 
-func (*RoundRobin) ranks() bool { return false }
+func (*RoundRobin) avoids(time.Time, *targetState, float64) bool { return false }
 
 func (p *RoundRobin) pick(_ time.Time, fit []*targetState, _ view) *targetState {
 	p.next++
@@ -94,7 +96,9 @@
 // Name implements Policy.
 func (*LeastLoaded) Name() string { return "least_loaded" }
 
-func (*LeastLoaded) ranks() bool { return false }
+func (p *LeastLoaded) avoids(_ time.Time, s *targetState, _ float64) bool {
+	return s.load.value >= p.Reject
+}
 
 func (p *LeastLoaded) pick(_ time.Time, fit []*targetState, v view) *targetState {
 	best := math.Inf(1)
@@ -104,9 +108,6 @@
 		if load > p.Critical {
 			continue
 		}
-		if load >= p.Reject {
-			load += p.Critical // behind every member below the reject threshold
-		}
 		if load < best {
 			best, ties = load, ties[:0]
 		}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -179,10 +179,10 @@
 	return Choice{Target: s.target, Reason: why, OK: true, state: s, pool: p}
 }
 
-// pick returns a target that fits, or nil. Good targets of any zone come before slow
-// and failing ones, and within these two groups the own zone comes first.
+// pick returns a target that fits, or nil. Targets that the policy avoids come after
+// those of any zone that it does not, and within these groups the own zone is first.
 func (r *Router) pick(now time.Time, p *pool, q Query) (*targetState, Reason) {
-	var groups [4][]*targetState // good own, good other, bad own, bad other
+	var groups [4][]*targetState // own, other, avoided own, avoided other
 	for _, s := range p.targets {
 		if !fits(now, s, q) {
 			continue
@@ -194,7 +194,7 @@
 		if s.target.Zone != r.zone {
 			group++
 		}
-		if !s.good(now, p.latency) && r.policy.ranks() {
+		if r.policy.avoids(now, s, p.latency) {
 			group += 2
 		}
 		groups[group] = append(groups[group], s)
