Keep time for a retry, drop silent connections, drain shared runs

A draining host asked only the others about an id in progress at itself and could say not_run; a silent target used up the whole time of a repeatable request; idle connections that went silent together each cost a call its deadline; an older host list could replace a newer one for a moment; a target that once said it was leaving stayed so if the host list never agreed. Change: submissions join the run in progress before a drain refuses them; attempts of repeatable requests keep half of the time while a retry can be paid; a call without an answer closes the idle connections; refreshes follow one another; a target's own word holds for a minute; outcomes wait for the log for ten minutes.

--- a/internal/calls/attempt.go
+++ b/internal/calls/attempt.go
@@ -46,6 +46,13 @@
 	return a
 }
 
+// sendWithin is send with a shorter time limit.
+func (s *Service) sendWithin(ctx context.Context, limit time.Duration, p *plan, c routing.Choice) attempt {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return s.send(ctx, p, c)
+}
+
 func classify(err error) attemptEnd {
 	var notRun *targetlink.NotRunError
 	var ran *targetlink.RanError
@@ -92,7 +99,7 @@
 		if refused != nil {
 			return conclude(p, last, mayHaveRun, refused)
 		}
-		last = s.send(ctx, p, c)
+		last = s.sendWithin(ctx, s.gate.attemptTime(p), p, c)
 		mayHaveRun = mayHaveRun || last.end != endNotRun
 		if last.end == endAnswered && last.answer.Status < http.StatusInternalServerError {
 			return answered(p, last.answer)
--- a/internal/calls/gate.go
+++ b/internal/calls/gate.go
@@ -17,6 +17,10 @@
 // one in the blackboard's order (Calls).
 type gate struct {
 	board *blackboard.Board
+	// listed is told the targets of each new host list; may be nil.
+	listed func([]model.Target)
+
+	refreshing sync.Mutex // taken before the locks of the board's tables
 
 	mu      sync.Mutex
 	router  *routing.Router
@@ -29,6 +33,9 @@
 	out     map[model.Zone]bool
 }
 
+// patience is how many times the usual latency an attempt is given at least.
+const patience = 8
+
 func newGate(board *blackboard.Board, o routing.Options) *gate {
 	return &gate{
 		board:   board,
@@ -38,8 +45,11 @@
 	}
 }
 
-// refresh takes over a new host list, member list and configuration.
+// refresh takes over a new host list, member list and configuration. Refreshes follow
+// one another, so that an older table never replaces a newer one.
 func (g *gate) refresh() {
+	g.refreshing.Lock()
+	defer g.refreshing.Unlock()
 	cfg, list, hosts := g.board.Config.Get(), g.board.Hosts.Get(), len(g.board.Members.List())
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -47,10 +57,14 @@
 		g.cfg = cfg
 		g.out = zonesOut(cfg.Text)
 	}
-	if list != nil && (list != g.list || hosts != g.hosts) {
-		g.list, g.hosts = list, hosts
-		g.router.Update(list.Targets, hosts)
-		g.serveAll(time.Now())
+	if list == nil || list == g.list && hosts == g.hosts {
+		return
+	}
+	g.list, g.hosts = list, hosts
+	g.router.Update(list.Targets, hosts)
+	g.serveAll(time.Now())
+	if g.listed != nil {
+		g.listed(list.Targets)
 	}
 }
 
@@ -210,6 +224,19 @@
 	g.budget(service).Call()
 }
 
+// attemptTime is how long one attempt of a repeatable request may take. While a retry
+// can be paid, half of the time is kept for it, unless that is short for the service.
+func (g *gate) attemptTime(p *plan) time.Duration {
+	left := time.Until(p.deadline)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usual := g.router.Usual(p.req.Service)
+	if usual == 0 || !g.budget(p.req.Service).Enough() {
+		return left
+	}
+	return min(left, max(left/2, patience*usual))
+}
+
 // mayRetry takes a retry from the service's budget.
 func (g *gate) mayRetry(service model.Service) bool {
 	g.mu.Lock()
--- a/internal/calls/history_test.go
+++ b/internal/calls/history_test.go
@@ -154,7 +154,7 @@
 			callers.Go(func() { w.breakThings(random) })
 		}
 		callers.Wait()
-		time.Sleep(time.Minute) // late appends and runs land, background appends end
+		time.Sleep(10 * time.Second) // late appends and runs land
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/calls/once.go
+++ b/internal/calls/once.go
@@ -15,9 +15,9 @@
 const (
 	// maxRecordedBody is the largest answer that goes into the journal.
 	maxRecordedBody = 64 << 10
-	// appendTimeout bounds the append of an outcome or a cancellation. It is longer
-	// than the outages that clear up within a drain (30 s).
-	appendTimeout = 25 * time.Second
+	// appendTimeout bounds the append of an outcome or a cancellation, which waits
+	// for the end of a log outage. Nobody asks for them later than that.
+	appendTimeout = keepTime
 	// askReserve is the share of a request's time that is left to ask the other
 	// hosts when the intent's append does not end.
 	askReserve = 0.25
--- a/internal/calls/service.go
+++ b/internal/calls/service.go
@@ -70,17 +70,27 @@
 
 	mu       sync.Mutex
 	draining bool
-	active   int           // requests and background appends
+	active   int           // runs and background appends
 	idle     chan struct{} // closed when active falls to 0 while somebody waits
 }
 
 // New returns a service without requests.
 func New(cfg Config) *Service {
-	return &Service{
+	s := &Service{
 		cfg:     cfg,
 		gate:    newGate(cfg.Board, routing.Options{Zone: cfg.Zone, Seed: cfg.Seed}),
 		entries: newEntries(),
 	}
+	if k, ok := cfg.Targets.(targetKeeper); ok {
+		s.gate.listed = k.Keep
+	}
+	return s
+}
+
+// targetKeeper is a caller that holds connections; it closes those to targets that
+// are no longer listed.
+type targetKeeper interface {
+	Keep(targets []model.Target)
 }
 
 // Apply implements journal.Applier for the calls stream.
@@ -126,12 +136,6 @@
 	if p.service == nil {
 		return result{err: refusal}
 	}
-	if !s.enter() {
-		ctx, cancel := context.WithDeadline(ctx, p.deadline)
-		defer cancel()
-		return s.refuse(ctx, p, nil, apierror.NotRun(apierror.CodeLeaving, "this host is leaving"))
-	}
-	defer s.leave()
 	e, leader, err := s.entries.join(time.Now(), p)
 	if err != nil {
 		return result{err: err}
@@ -147,7 +151,9 @@
 func (s *Service) begin(ctx context.Context, p *plan, e *entry, refusal *apierror.Error) {
 	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), p.deadline)
 	s.entries.started(e, cancel)
-	s.hold()
+	if s.hold() {
+		refusal = apierror.NotRun(apierror.CodeLeaving, "this host is leaving")
+	}
 	go func() {
 		defer s.leave()
 		defer cancel()
@@ -179,22 +185,12 @@
 	}
 }
 
-// enter counts a request unless the host is draining.
-func (s *Service) enter() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return false
-	}
-	s.active++
-	return true
-}
-
-// hold counts background work; the caller is counted already.
-func (s *Service) hold() {
+// hold counts a run or background work and reports whether the host is draining.
+func (s *Service) hold() (draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active++
+	return s.draining
 }
 
 func (s *Service) leave() {
--- a/internal/calls/service_test.go
+++ b/internal/calls/service_test.go
@@ -20,7 +20,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		test(t, newWorld(ctx, 1, hosts, faults{}))
-		time.Sleep(time.Minute) // background appends end
+		time.Sleep(5 * time.Second) // past every deadline
 		cancel()
 		synctest.Wait()
 	})
@@ -113,7 +113,7 @@
 		w.faults.Store(&faults{appendLate: 1})
 		_, err := w.host(0).do("r", "once")
 		expect(t, "intent not recorded", err, model.OutcomeNotRun, apierror.CodeLogUnavailable)
-		time.Sleep(appendTimeout + 3*time.Second)
+		time.Sleep(10 * time.Second)
 		w.faults.Store(&faults{})
 		w.kill(0)
 		_, err = w.host(1).do("r", "once")
@@ -285,7 +285,13 @@
 			answered <- err
 		}()
 		synctest.Wait()
-		if err := h.svc.Drain(w.ctx); err != nil {
+		drained := make(chan error, 1)
+		go func() { drained <- h.svc.Drain(w.ctx) }()
+		synctest.Wait()
+		if _, err := h.do("r", "once"); err != nil {
+			t.Errorf("second submission of a request in progress: %v", err)
+		}
+		if err := <-drained; err != nil {
 			t.Fatal(err)
 		}
 		if err := <-answered; err != nil {
@@ -299,6 +305,27 @@
 	})
 }
 
+// TestSilentTargetLeavesTimeToRetry guards against a repeatable request that spends
+// its whole time on one silent target while a retry could be paid.
+func TestSilentTargetLeavesTimeToRetry(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		h := w.host(0)
+		for i := range 10 {
+			if _, err := h.do(string(rune('a'+i)), "again"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.faults.Store(&faults{silent: 1})
+		go func() {
+			time.Sleep(time.Second / 2)
+			w.faults.Store(&faults{})
+		}()
+		if _, err := h.do("r", "again"); err != nil || h.svc.Stats().Retries != 1 {
+			t.Errorf("got %v after %d retries, want an answer after one", err, h.svc.Stats().Retries)
+		}
+	})
+}
+
 // TestLargeAnswerIsNotKept guards against an answer of more than 64 KB in the
 // journal, and against unknown where the request is known to have run.
 func TestLargeAnswerIsNotKept(t *testing.T) {
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -179,6 +179,9 @@
 
 // Append implements journal.Journal with lost, late and dropped appends.
 func (h *host) Append(ctx context.Context, _ journal.Stream, r journal.Record) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.w.ctx, cancel)() // the world's end ends waiting appends
 	h.w.delay(ctx, 20*time.Millisecond)
 	switch {
 	case h.gone() || h.logDown.Load() || h.w.chance(h.w.faults.Load().appendDropped):
--- a/internal/platform/targetlink/client.go
+++ b/internal/platform/targetlink/client.go
@@ -131,9 +131,12 @@
 	if err != nil {
 		return Answer{}, &NotRunError{Target: t.ID, Reason: err.Error()}
 	}
-	resp, err := c.link(t).transport.RoundTrip(req)
+	l := c.link(t)
+	resp, err := l.transport.RoundTrip(req)
 	if err != nil {
-		return Answer{}, sendError(t.ID, used, err)
+		err = sendError(t.ID, used, err)
+		l.suspect(err)
+		return Answer{}, err
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read or is abandoned
 	return readAnswer(t.ID, call.Attempt, used, resp)
@@ -233,6 +236,18 @@
 	}}
 }
 
+// suspect closes the idle connections and the spare after an attempt that may have
+// run got no answer: what silenced its connection may have silenced the others, and
+// each would cost a call its deadline.
+func (l *link) suspect(err error) {
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
+		return
+	}
+	l.transport.CloseIdleConnections()
+	l.pool.drop()
+}
+
 func (l *link) close() {
 	l.pool.close()
 	l.transport.CloseIdleConnections()
--- a/internal/platform/targetlink/client_test.go
+++ b/internal/platform/targetlink/client_test.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// TestSilenceDropsIdleConnections guards against calls that wait on idle connections
+// that went silent together with the one that missed its deadline.
+func TestSilenceDropsIdleConnections(t *testing.T) {
+	p := &sparePool{dial: func(context.Context, string, string) (net.Conn, error) {
+		client, _ := net.Pipe()
+		return client, nil
+	}}
+	p.store(p.dial(context.Background(), "", ""))
+	l := &link{pool: p, transport: &http.Transport{}}
+	l.suspect(&NotRunError{})
+	if p.ready == nil {
+		t.Error("the spare was dropped although nothing was sent")
+	}
+	l.suspect(context.DeadlineExceeded)
+	if p.ready != nil {
+		t.Error("the spare was kept after a call got no answer")
+	}
+}
+
 // TestSpareConnection guards against a call that waits for a handshake while a
 // spare connection is open, and against a spare that the target closed.
 func TestSpareConnection(t *testing.T) {
--- a/internal/platform/targetlink/conn.go
+++ b/internal/platform/targetlink/conn.go
@@ -154,10 +154,9 @@
 	p.ready = newSpare(conn)
 }
 
-// close closes the spare connection; later ones are closed when they open.
-func (p *sparePool) close() {
+// drop closes the spare connection. The next call opens another one.
+func (p *sparePool) drop() {
 	p.mu.Lock()
-	p.closed = true
 	s := p.ready
 	p.ready = nil
 	p.mu.Unlock()
@@ -165,3 +164,11 @@
 		_ = s.conn.Close()
 	}
 }
+
+// close drops the spare connection; later ones are closed when they open.
+func (p *sparePool) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.drop()
+}
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -23,13 +23,18 @@
 
 // Spend reports whether a retry is allowed, and takes it from the budget.
 func (b *RetryBudget) Spend() bool {
-	if b.saved < 1-1e-9 { // ten additions of 0.1 fall just short of 1
+	if !b.Enough() {
 		return false
 	}
 	b.saved = max(0, b.saved-1)
 	return true
 }
 
+// Enough reports whether a retry would be allowed.
+func (b *RetryBudget) Enough() bool {
+	return b.saved >= 1-1e-9 // ten additions of 0.1 fall just short of 1
+}
+
 const (
 	backoffFirst = 10 * time.Millisecond
 	backoffMax   = 500 * time.Millisecond
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -106,9 +106,7 @@
 	if s == nil || s.target.Address != t.Address {
 		s = newTargetState(t, open)
 	}
-	leaving := s.leaving && s.target.Leaving == t.Leaving
 	s.update(t, open)
-	s.leaving = s.leaving || leaving
 	r.targets[t.ID] = s
 }
 
@@ -142,7 +140,7 @@
 		return false
 	}
 	for _, s := range p.targets {
-		if !s.leaving && !out[s.target.Zone] && s.breaker.admits(now) {
+		if !s.leaving(now) && !out[s.target.Zone] && s.breaker.admits(now) {
 			return true
 		}
 	}
@@ -215,7 +213,7 @@
 }
 
 func fits(now time.Time, s *targetState, q Query) bool {
-	return !s.leaving && !q.Out[s.target.Zone] && !q.Exclude[s.target.ID] &&
+	return !s.leaving(now) && !q.Out[s.target.Zone] && !q.Exclude[s.target.ID] &&
 		s.free() && s.breaker.admits(now)
 }
 
@@ -225,7 +223,7 @@
 	for _, s := range p.targets {
 		switch {
 		case q.Out[s.target.Zone]:
-		case s.leaving:
+		case s.leaving(now):
 			why = ReasonLeaving
 		case !s.breaker.admits(now):
 			if why != ReasonBusy {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -85,7 +85,7 @@
 	if used > c.Target.Slots || used > c.Target.ConnectionsPerHost(hosts) {
 		t.Fatalf("%d requests on %+v with %d hosts", used, c.Target, hosts)
 	}
-	if r.targets[c.Target.ID].leaving || q.Out[c.Target.Zone] {
+	if r.targets[c.Target.ID].leaving(now) || q.Out[c.Target.Zone] {
 		t.Fatalf("target %+v is leaving or out of service", c.Target)
 	}
 	if goodOwn && c.Target.Zone != "a" && c.Reason != ReasonProbe {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -48,7 +48,10 @@
 	// a free slot: those slower than slowFactor times the usual or with a lower
 	// success rate than minGood.
 	slowFactor = 2
-	minGood    = 0.7
+	// leavingMemory is how long a target's own word that it leaves holds. The host
+	// list, which lags by seconds, has the last word after that.
+	leavingMemory = time.Minute
+	minGood       = 0.7
 )
 
 // targetState is what this host observed of one target.
@@ -57,9 +60,9 @@
 	maxOpen  int // connections of this host
 	limit    float64
 	inFlight int
-	leaving  bool
-	latency  float64 // seconds, mean of successful calls; 0 before the first
-	success  float64 // 0 to 1
+	leaveBy  time.Time // until when the target's own word that it leaves holds
+	latency  float64   // seconds, mean of successful calls; 0 before the first
+	success  float64   // 0 to 1
 	seen     time.Time
 	breaker  breaker
 	load     reportedLoad
@@ -76,10 +79,14 @@
 func (s *targetState) update(t model.Target, maxOpen int) {
 	s.target = t
 	s.maxOpen = maxOpen
-	s.leaving = t.Leaving
 	s.limit = math.Min(s.limit, float64(s.hardLimit()))
 }
 
+// leaving reports whether the host list or the target itself says that it leaves.
+func (s *targetState) leaving(now time.Time) bool {
+	return s.target.Leaving || now.Before(s.leaveBy)
+}
+
 // hardLimit is the number of requests that slots and connections allow.
 func (s *targetState) hardLimit() int {
 	return max(1, min(s.target.Slots, s.maxOpen))
@@ -96,7 +103,7 @@
 	atLimit := !s.free()
 	s.inFlight--
 	if r.Leaving {
-		s.leaving = true
+		s.leaveBy = now.Add(leavingMemory)
 	}
 	if r.Kind == ResultAbandoned {
 		s.breaker.abandon()
