--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/daisyfold/daisyfold/internal/model"
 )
 
 // Policy picks one of the targets that fit a request. The product uses PowerOfTwo;
@@ -11,6 +13,8 @@
 type Policy interface {
 	// Name is the name in reports.
 	Name() string
+	// avoids reports whether the target comes after all others in any zone.
+	avoids(now time.Time, s *targetState, usual float64) bool
 	// pick returns an element of fit, which is not empty, or nil to shed.
 	pick(now time.Time, fit []*targetState, v view) *targetState
 }
@@ -18,8 +22,7 @@
 // view is what a policy may look at besides the targets.
 type view struct {
 	random *rand.Rand
-	usual  float64 // seconds, mean latency of the service
-	pool   *pool
+	usual  float64 // seconds, usual latency of the service
 }
 
 // PowerOfTwo compares two targets drawn at random by their cost: requests in
@@ -29,6 +32,10 @@
 // Name implements Policy.
 func (PowerOfTwo) Name() string { return "power_of_two" }
 
+func (PowerOfTwo) avoids(now time.Time, s *targetState, usual float64) bool {
+	return !s.good(now, usual)
+}
+
 func (PowerOfTwo) pick(now time.Time, fit []*targetState, v view) *targetState {
 	i := v.random.IntN(len(fit))
 	if len(fit) == 1 {
@@ -50,6 +57,8 @@
 // Name implements Policy.
 func (Random) Name() string { return "random" }
 
+func (Random) avoids(time.Time, *targetState, float64) bool { return false }
+
 func (Random) pick(_ time.Time, fit []*targetState, v view) *targetState {
 	return fit[v.random.IntN(len(fit))]
 }
@@ -60,6 +69,8 @@
 // Name implements Policy.
 func (*RoundRobin) Name() string { return "round_robin" }
 
+func (*RoundRobin) avoids(time.Time, *targetState, float64) bool { return false }
+
 func (p *RoundRobin) pick(_ time.Time, fit []*targetState, _ view) *targetState {
 	p.next++
 	return fit[p.next%len(fit)]
@@ -85,6 +96,10 @@
 // Name implements Policy.
 func (*LeastLoaded) Name() string { return "least_loaded" }
 
+func (p *LeastLoaded) avoids(_ time.Time, s *targetState, _ float64) bool {
+	return s.load.value >= p.Reject
+}
+
 func (p *LeastLoaded) pick(_ time.Time, fit []*targetState, v view) *targetState {
 	best := math.Inf(1)
 	var ties []*targetState
@@ -93,9 +108,6 @@
 		if load > p.Critical {
 			continue
 		}
-		if load >= p.Reject {
-			load += p.Critical // behind every member below the reject threshold
-		}
 		if load < best {
 			best, ties = load, ties[:0]
 		}
@@ -110,9 +122,9 @@
 }
 
 // ReportLoad dampens a sample of a target's load into its reported load.
-func (r *Router) ReportLoad(p *LeastLoaded, sample func(id string) float64) {
+func (r *Router) ReportLoad(p *LeastLoaded, sample func(model.TargetID) float64) {
 	for _, s := range r.targets {
-		fresh := sample(string(s.target.ID))
+		fresh := sample(s.target.ID)
 		s.load.value = p.Dampening*s.load.value + (1-p.Dampening)*fresh
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -4,7 +4,9 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -66,9 +68,12 @@
 // pool is the targets of one service, sorted by id so that choices repeat with the
 // same seed.
 type pool struct {
-	targets  []*targetState
-	inFlight int
-	latency  float64 // seconds, mean of the successful calls of all targets
+	targets   []*targetState
+	inFlight  int
+	successes int
+	mean      float64 // seconds, of all successful calls
+	median    float64 // seconds, of the targets' means
+	latency   float64 // seconds, the usual latency; 0 before the first success
 }
 
 // New returns a router without targets.
@@ -101,9 +106,7 @@
 	if s == nil || s.target.Address != t.Address {
 		s = newTargetState(t, open)
 	}
-	leaving := s.leaving && s.target.Leaving == t.Leaving
 	s.update(t, open)
-	s.leaving = s.leaving || leaving
 	r.targets[t.ID] = s
 }
 
@@ -137,7 +140,7 @@
 		return false
 	}
 	for _, s := range p.targets {
-		if !s.leaving && !out[s.target.Zone] && s.breaker.admits(now) {
+		if !s.leaving(now) && !out[s.target.Zone] && s.breaker.admits(now) {
 			return true
 		}
 	}
@@ -155,11 +158,8 @@
 	if q.MaxInFlight > 0 && p.inFlight >= q.MaxInFlight {
 		return Choice{Reason: ReasonBusy}
 	}
-	if s := r.pick(now, p, q, true); s != nil {
-		return p.begin(s, ReasonOwnZone)
-	}
-	if s := r.pick(now, p, q, false); s != nil {
-		return p.begin(s, ReasonOtherZone)
+	if s, why := r.pick(now, p, q); s != nil {
+		return p.begin(s, why)
 	}
 	if len(q.Exclude) > 0 {
 		q.Exclude = nil
@@ -177,26 +177,43 @@
 	return Choice{Target: s.target, Reason: why, OK: true, state: s, pool: p}
 }
 
-// pick returns a target of the own zone, or of the others, or nil.
-func (r *Router) pick(now time.Time, p *pool, q Query, own bool) *targetState {
-	var fit []*targetState
+// pick returns a target that fits, or nil. Targets that the policy avoids come after
+// those of any zone that it does not, and within these groups the own zone is first.
+func (r *Router) pick(now time.Time, p *pool, q Query) (*targetState, Reason) {
+	var groups [4][]*targetState // own, other, avoided own, avoided other
 	for _, s := range p.targets {
-		if (s.target.Zone == r.zone) != own || !fits(now, s, q) {
+		if !fits(now, s, q) {
 			continue
 		}
 		if s.breaker.open() {
-			return s // a due probe goes first, so that capacity returns
+			return s, ReasonProbe // a due probe goes first, so that capacity returns
+		}
+		group := 0
+		if s.target.Zone != r.zone {
+			group++
 		}
-		fit = append(fit, s)
+		if r.policy.avoids(now, s, p.latency) {
+			group += 2
+		}
+		groups[group] = append(groups[group], s)
 	}
-	if len(fit) == 0 {
-		return nil
+	for i, fit := range groups {
+		if len(fit) == 0 {
+			continue
+		}
+		why := ReasonOwnZone
+		if i%2 == 1 {
+			why = ReasonOtherZone
+		}
+		if s := r.policy.pick(now, fit, view{random: r.random, usual: p.latency}); s != nil {
+			return s, why
+		}
 	}
-	return r.policy.pick(now, fit, view{random: r.random, usual: p.latency, pool: p})
+	return nil, ""
 }
 
 func fits(now time.Time, s *targetState, q Query) bool {
-	return !s.leaving && !q.Out[s.target.Zone] && !q.Exclude[s.target.ID] &&
+	return !s.leaving(now) && !q.Out[s.target.Zone] && !q.Exclude[s.target.ID] &&
 		s.free() && s.breaker.admits(now)
 }
 
@@ -206,7 +223,7 @@
 	for _, s := range p.targets {
 		switch {
 		case q.Out[s.target.Zone]:
-		case s.leaving:
+		case s.leaving(now):
 			why = ReasonLeaving
 		case !s.breaker.admits(now):
 			if why != ReasonBusy {
@@ -229,16 +246,37 @@
 	}
 }
 
-// observe takes a successful call into the mean latency of the service.
+// medianEvery is after how many successes the median is taken again, to keep its cost
+// small.
+const medianEvery = 16
+
+// observe takes in a successful call. The usual latency is the lower of the mean of
+// all calls, which are mostly on fast targets, and the median of the targets, which
+// a few busy slow ones do not move.
 func (p *pool) observe(d time.Duration) {
-	if p.latency == 0 {
-		p.latency = d.Seconds()
-		return
+	p.mean = blend(p.mean, d.Seconds(), latencyGain/float64(max(1, len(p.targets))))
+	p.successes++
+	if p.median == 0 || p.successes%medianEvery == 0 {
+		p.median = medianLatency(p.targets)
+	}
+	p.latency = min(p.mean, p.median)
+}
+
+func medianLatency(targets []*targetState) float64 {
+	means := make([]float64, 0, len(targets))
+	for _, s := range targets {
+		if s.latency > 0 {
+			means = append(means, s.latency)
+		}
+	}
+	if len(means) == 0 {
+		return math.Inf(1)
 	}
-	p.latency = mix(p.latency, d.Seconds(), latencyGain/float64(max(1, len(p.targets))))
+	slices.Sort(means)
+	return means[(len(means)-1)/2]
 }
 
-// Usual returns the mean latency of the service's successful calls, 0 if unknown.
+// Usual returns the usual latency of the service, 0 if unknown.
 func (r *Router) Usual(service model.Service) time.Duration {
 	p := r.services[service]
 	if p == nil {
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -38,8 +38,20 @@
 	forgetAfter = 30 * time.Second
 	// minSuccess bounds how far a low success rate pushes a target back.
 	minSuccess = 0.02
-	// limitGrowth is how many successes at the limit raise it by one request.
-	limitGrowth = 10
+	// rejectionGain is the weight of a rejection in the success rate. It is small
+	// because the limit already falls with each rejection.
+	rejectionGain = 0.02
+	// limitGrowth is how many successes at the limit raise it by one request. Other
+	// hosts use the same slots, so each raise may cost a rejection.
+	limitGrowth = 50
+	// slowFactor and minGood tell the targets that are used only when no other has
+	// a free slot: those slower than slowFactor times the usual or with a lower
+	// success rate than minGood.
+	slowFactor = 2
+	// leavingMemory is how long a target's own word that it leaves holds. The host
+	// list, which lags by seconds, has the last word after that.
+	leavingMemory = time.Minute
+	minGood       = 0.7
 )
 
 // targetState is what this host observed of one target.
@@ -48,9 +60,9 @@
 	maxOpen  int // connections of this host
 	limit    float64
 	inFlight int
-	leaving  bool
-	latency  float64 // seconds, mean of successful calls; 0 before the first
-	success  float64 // 0 to 1
+	leaveBy  time.Time // until when the target's own word that it leaves holds
+	latency  float64   // seconds, mean of successful calls; 0 before the first
+	success  float64   // 0 to 1
 	seen     time.Time
 	breaker  breaker
 	load     reportedLoad
@@ -67,10 +79,14 @@
 func (s *targetState) update(t model.Target, maxOpen int) {
 	s.target = t
 	s.maxOpen = maxOpen
-	s.leaving = t.Leaving
 	s.limit = math.Min(s.limit, float64(s.hardLimit()))
 }
 
+// leaving reports whether the host list or the target itself says that it leaves.
+func (s *targetState) leaving(now time.Time) bool {
+	return s.target.Leaving || now.Before(s.leaveBy)
+}
+
 // hardLimit is the number of requests that slots and connections allow.
 func (s *targetState) hardLimit() int {
 	return max(1, min(s.target.Slots, s.maxOpen))
@@ -84,37 +100,34 @@
 
 // observe takes in the end of an attempt.
 func (s *targetState) observe(now time.Time, r Result) {
+	atLimit := !s.free()
 	s.inFlight--
 	if r.Leaving {
-		s.leaving = true
+		s.leaveBy = now.Add(leavingMemory)
 	}
 	if r.Kind == ResultAbandoned {
 		s.breaker.abandon()
 		return
 	}
 	ok := r.Kind == ResultOK
-	s.success = mix(s.successAt(now), boolValue(ok), successGain)
+	gain := successGain
+	if r.Kind == ResultRejected {
+		gain = rejectionGain
+	}
+	s.success = mix(s.successAt(now), boolValue(ok), gain)
 	if ok || r.Kind == ResultBroken {
-		s.observeLatency(r.Latency)
+		s.latency = blend(s.latency, r.Latency.Seconds(), latencyGain)
 	}
 	s.seen = now
-	s.breaker.observe(now, ok)
-	s.adaptLimit(r.Kind)
+	s.breaker.observe(now, r.Kind)
+	s.adaptLimit(r.Kind, atLimit)
 }
 
-func (s *targetState) observeLatency(d time.Duration) {
-	if s.latency == 0 {
-		s.latency = d.Seconds()
-		return
-	}
-	s.latency = mix(s.latency, d.Seconds(), latencyGain)
-}
-
-func (s *targetState) adaptLimit(k ResultKind) {
-	switch k {
-	case ResultRejected:
+func (s *targetState) adaptLimit(k ResultKind, atLimit bool) {
+	switch {
+	case k == ResultRejected:
 		s.limit = math.Max(1, float64(s.inFlight))
-	case ResultOK:
+	case k == ResultOK && atLimit:
 		s.limit = math.Min(float64(s.hardLimit()), s.limit+1/float64(limitGrowth))
 	}
 }
@@ -125,7 +138,7 @@
 }
 
 // latencyAt is the mean latency, drawn towards usual by the time since the last
-// call; usual is the mean of all targets of the service.
+// call; usual is the usual latency of the service.
 func (s *targetState) latencyAt(now time.Time, usual float64) float64 {
 	if s.latency == 0 {
 		return usual
@@ -133,11 +146,18 @@
 	return mix(s.latency, usual, forgotten(now.Sub(s.seen)))
 }
 
-// cost ranks targets: the expected time of one more request, divided by the square
-// of the success rate so that a target that fails fast is not preferred.
+// cost ranks targets: the expected time of a request, raised by the share of slots
+// in use and divided by the square of the success rate, so that a target that fails
+// fast is not preferred.
 func (s *targetState) cost(now time.Time, usual float64) float64 {
 	p := math.Max(minSuccess, s.successAt(now))
-	return s.latencyAt(now, usual) * float64(s.inFlight+1) / (p * p)
+	used := float64(s.inFlight) / math.Max(1, s.limit)
+	return s.latencyAt(now, usual) * (1 + used) / (p * p)
+}
+
+// good reports whether the target is neither slow nor failing.
+func (s *targetState) good(now time.Time, usual float64) bool {
+	return s.latencyAt(now, usual) <= slowFactor*usual && s.successAt(now) >= minGood
 }
 
 // forgotten is the weight that observations of that age have lost, from 0 to 1.
@@ -148,6 +168,14 @@
 	return 1 - math.Exp(-age.Seconds()/forgetAfter.Seconds())
 }
 
+// blend is mix, but the first sample, when old is 0, counts in full.
+func blend(old, sample, gain float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return mix(old, sample, gain)
+}
+
 func mix(old, sample, gain float64) float64 { return old + (sample-old)*gain }
 
 func boolValue(b bool) float64 {
