--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,154 @@
+package bench
+
+import (
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/planner"
+	"github.com/daisyfold/daisyfold/internal/topology"
+	"time"
+)
+
+// snapshot returns the planner's view of a zone without waiting jobs.
+func (s *sim) snapshot(zone int) *planner.Snapshot {
+	z := s.zones[zone]
+	snap := &planner.Snapshot{
+		Now: epoch.Add(s.now), Shard: model.ShardID{Zone: z.name}, ZoneInService: z.in,
+		Workers: z.workers, History: s.history,
+		Stopping: make(map[model.JobKey]bool), Served: make(map[model.JobKey]time.Duration),
+	}
+	for _, j := range z.running {
+		snap.Running = append(snap.Running, *j.running)
+		if j.stops > 0 {
+			snap.Stopping[j.job.Spec.Key] = true
+		}
+		snap.Served[j.job.Spec.Key] = time.Duration(j.job.ServedMS) * time.Millisecond
+	}
+	for _, g := range s.d.guarantees {
+		if g.Zone == z.name {
+			snap.Guarantees = append(snap.Guarantees, g)
+		}
+	}
+	for i, org := range s.d.orgs {
+		snap.Organisations = append(snap.Organisations, planner.Organisation{Name: org, Weight: s.d.orgWeights[i]})
+	}
+	return snap
+}
+
+// daisyfold plans the zone's own jobs, then takes over jobs of other zones that can
+// start at once.
+func daisyfold(s *sim, zone int) *planner.Plan {
+	snap := s.snapshot(zone)
+	others := 0
+	for _, j := range s.waiting {
+		if j.zone == zone {
+			snap.Waiting = append(snap.Waiting, j.job)
+		} else {
+			others++
+		}
+	}
+	p := planner.Decide(snap)
+	if others == 0 || !s.anyFree(snap, p) {
+		return p
+	}
+	snap.Waiting = nil
+	for _, j := range s.waiting {
+		snap.Waiting = append(snap.Waiting, j.job)
+	}
+	for _, start := range planner.Decide(snap).Starts {
+		if s.all[start.Job].zone != zone && fits(snap, p, &start) {
+			p.Starts = append(p.Starts, start)
+		}
+	}
+	return p
+}
+
+// fits reports whether a start overlaps neither the plan's starts nor its victims'
+// places.
+func fits(snap *planner.Snapshot, p *planner.Plan, start *model.Placement) bool {
+	if len(p.Preempt) > 0 {
+		return false
+	}
+	t := topology.New(snap.Workers, append(append([]model.Placement{}, snap.Running...), p.Starts...))
+	for i := range start.Members {
+		m := &start.Members[i]
+		node, _ := t.Index(m.Worker)
+		n := &t.Nodes[node]
+		if topology.Of(m.Accelerators)&^n.Free != 0 || n.CPUs < m.Resources.CPUs || n.MemoryMB < m.Resources.MemoryMB {
+			return false
+		}
+		n.Free &^= topology.Of(m.Accelerators)
+		n.CPUs -= m.Resources.CPUs
+		n.MemoryMB -= m.Resources.MemoryMB
+	}
+	return true
+}
+
+func (s *sim) anyFree(snap *planner.Snapshot, p *planner.Plan) bool {
+	free := len(snap.Workers) * model.WorkerAccelerators
+	for i := range snap.Running {
+		free -= s.all[snap.Running[i].Job].job.Spec.Accelerators()
+	}
+	for i := range p.Starts {
+		free -= s.all[p.Starts[i].Job].job.Spec.Accelerators()
+	}
+	return free > 0
+}
+
+// firstFit is the baseline: it goes through the jobs of all zones in order of arrival
+// and starts each at the first place that holds it. It never preempts. A job that
+// does not fit is passed over, which serves the mean better than blocking the queue.
+func firstFit(s *sim, zone int) *planner.Plan { return arrivalOrder(s, zone, false) }
+
+// blockingFirstFit stops at the first job that fits nowhere, so jobs start strictly in
+// order of arrival.
+func blockingFirstFit(s *sim, zone int) *planner.Plan { return arrivalOrder(s, zone, true) }
+
+func arrivalOrder(s *sim, zone int, blocking bool) *planner.Plan {
+	p := &planner.Plan{}
+	snap := s.snapshot(zone)
+	t := topology.New(snap.Workers, snap.Running)
+	for _, j := range s.waiting {
+		if members := firstPlace(t, &j.job.Spec); members != nil {
+			start := model.Placement{Job: j.job.Spec.Key, Attempt: j.job.Attempt + 1, Members: members}
+			t.Add(&start)
+			p.Starts = append(p.Starts, start)
+		} else if blocking {
+			break
+		}
+	}
+	return p
+}
+
+// firstPlace returns the first aligned cells in order of workers that hold the gang.
+func firstPlace(t *topology.Table, spec *model.JobSpec) []model.Member {
+	domains := t.Racks
+	if spec.Within == model.LevelZone {
+		var all []int
+		for i := range t.Nodes {
+			all = append(all, i)
+		}
+		domains = [][]int{all}
+	}
+	size := topology.CellSize(spec.Task.Accelerators)
+	for _, nodes := range domains {
+		var members []model.Member
+		for _, i := range nodes {
+			n := &t.Nodes[i]
+			cpus := n.CPUs
+			for base := 0; base < n.Capacity.Accelerators && len(members) < spec.Tasks; base += size {
+				cell := topology.Span(base, size) & n.Free
+				if cell.Count() < spec.Task.Accelerators || cpus < spec.Task.CPUs {
+					continue
+				}
+				cpus -= spec.Task.CPUs
+				members = append(members, model.Member{
+					Index: len(members), Worker: n.ID, Resources: spec.Task,
+					Accelerators: cell.Lowest(spec.Task.Accelerators).Indices(),
+				})
+			}
+		}
+		if len(members) == spec.Tasks {
+			return members
+		}
+	}
+	return nil
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -12,12 +12,22 @@
 )
 
 const (
-	// minRun is how long an attempt runs before work of its own priority may
-	// preempt it; shorter runs spend too large a share on stop and restart.
-	minRun = 2 * time.Minute
+	// minRun is how long a first attempt runs before work that is not urgent may
+	// preempt it; shorter runs spend too large a share on stop and restart. It
+	// doubles with each attempt, so the stops of a job grow only with the
+	// logarithm of its run time.
+	minRun      = 5 * time.Minute
+	maxDoubling = 4
 	// levelGap is how many levels shorter a job must be to preempt work of its own
 	// priority: with a factor of 4 a level, at least 4 times less work.
 	levelGap = 2
+	// victimRatio bounds how much larger than the job a victim may be, unless the
+	// job is urgent: a stopped gang leaves its other accelerators idle and is hard
+	// to place again.
+	victimRatio = 4
+	// smallVictim is how many times smaller than an aged gang a victim must be to
+	// give way without having run for a while.
+	smallVictim = 4
 )
 
 func (p *planning) request(it *queue.Item) *placement.Request {
@@ -54,21 +64,52 @@
 	if p.failed[key] || !p.fairShareOfWorker(spec.Task) {
 		return false
 	}
-	for _, cost := range []placement.CostFunc{nil, p.spareCost(it)} {
-		for _, allowed := range [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)} {
-			r := p.request(it)
-			r.Allowed = allowed
-			found := reclaim.Find(p.table, r, cost)
-			if found != nil && p.keepsGuarantees(it, found) {
-				p.accept(it, found, true)
-				return true
-			}
-		}
+	if p.placeWithin(it) {
+		return true
 	}
 	p.failed[key] = true
 	return false
 }
 
+// placeWithin tries places in order of the harm they do: free ones outside the head
+// gang's reservation, those held by small work that ran for a while, free ones inside
+// the reservation, and last any that guaranteed work may reclaim.
+func (p *planning) placeWithin(it *queue.Item) bool {
+	outside := p.held
+	if p.reserved != nil {
+		outside = union(p.held, p.reserved)
+	}
+	spare := p.spareCost(it)
+	gentle := func(gang int) (float64, bool) {
+		if gang < p.running && !p.stopping[gang] && p.shielded(it, gang) {
+			return 0, false
+		}
+		return spare(gang)
+	}
+	return p.tryWithin(it, outside, nil) ||
+		p.reserved != nil && p.tryWithin(it, outside, gentle) ||
+		p.reserved != nil && p.tryWithin(it, p.held, nil) ||
+		p.tryWithin(it, p.held, spare)
+}
+
+// tryWithin starts the job within its organisation's guarantee if a place is found. It
+// tries any place before the cells that the guarantee's open shapes hold, which always
+// keep the other guarantees whole.
+func (p *planning) tryWithin(it *queue.Item, blocked []topology.Mask, cost placement.CostFunc) bool {
+	org := it.Job.Spec.Key.Organisation
+	for _, allowed := range [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)} {
+		r := p.request(it)
+		r.Allowed = allowed
+		r.Blocked = blocked
+		found := reclaim.Find(p.table, r, cost)
+		if found != nil && p.keepsGuarantees(it, found) {
+			p.accept(it, found, true)
+			return true
+		}
+	}
+	return false
+}
+
 // fairShareOfWorker reports whether a task uses no more CPUs and memory than its
 // accelerators' share of the worker. Guaranteed work beyond that share could keep
 // another guarantee on the same worker from starting.
@@ -108,34 +149,41 @@
 	if p.placeFree(it) || p.placeByPreemption(it) {
 		return
 	}
-	if p.reserved == nil && it.Job.Spec.Accelerators() > 0 {
-		p.reserve(it)
-	}
 	if it.Job.Spec.NonRepeatable {
-		p.reason(it.Job, model.ReasonReserved, "no free place that no guarantee needs")
+		p.reasonPinned(it)
 		return
 	}
 	p.reason(it.Job, model.ReasonNoShape, "no free place for the gang")
 }
 
-// placeFree uses free resources only. The head gang's reserved place is used only by
-// jobs that end before the head gang can start.
-func (p *planning) placeFree(it *queue.Item) bool {
-	kind := searchFree
-	if p.reserved != nil && !p.endsBeforeShadow(it) {
-		kind = searchBackfill
+// reasonPinned explains why a job that cannot be preempted must wait.
+func (p *planning) reasonPinned(it *queue.Item) {
+	switch {
+	case placement.Find(p.table, p.request(it), nil) == nil:
+		p.reason(it.Job, model.ReasonNoShape, "no free place for the gang")
+	case p.reserved != nil && !p.endsBeforeShadow(it):
+		p.reason(it.Job, model.ReasonBackfillBound, "would delay the gang that has a reservation")
+	default:
+		p.reason(it.Job, model.ReasonReserved, "no free place that no guarantee needs")
 	}
-	key := p.key(kind, it)
+}
+
+// placeFree uses free resources only. A job that cannot be preempted uses the head
+// gang's reserved place only if it ends before the head gang can start.
+func (p *planning) placeFree(it *queue.Item) bool {
+	key := p.key(searchFree, it)
+	pinned := it.Job.Spec.NonRepeatable
+	key.backfill = pinned && p.endsBeforeShadow(it)
 	if p.failed[key] {
 		return false
 	}
 	r := p.request(it)
-	if kind == searchBackfill {
-		r.Blocked = union(p.held, p.reserved)
-	}
-	if it.Job.Spec.NonRepeatable {
+	if pinned {
 		r.Allowed = p.unclaimed()
 	}
+	if pinned && p.reserved != nil && !key.backfill {
+		r.Blocked = union(p.held, p.reserved)
+	}
 	found := placement.Find(p.table, r, nil)
 	if found == nil {
 		p.failed[key] = true
@@ -234,10 +282,31 @@
 	if urgent {
 		return true
 	}
-	if p.ran(g) < minRun {
+	if p.shielded(it, gang) {
 		return false
 	}
-	return g.Priority < it.Priority || p.level(gang) >= it.Level+levelGap
+	return g.Priority < it.Priority || it.Aged || p.level(gang) >= it.Level+levelGap
+}
+
+// shielded reports whether a gang started too recently or is too large to be stopped
+// for a job that could also wait.
+func (p *planning) shielded(it *queue.Item, gang int) bool {
+	g := &p.table.Gangs[gang]
+	size := gangSize(g.Placement)
+	if size > victimRatio*it.Size {
+		return true
+	}
+	shield := protected(g)
+	if it.Aged && size*smallVictim < it.Size {
+		// Backfill on the place of a gang that waited for long gives way at once.
+		shield = 0
+	}
+	return p.ran(g) < shield
+}
+
+// protected returns how long an attempt runs before it may be preempted.
+func protected(g *topology.Gang) time.Duration {
+	return minRun << min(max(g.Attempt-1, 0), maxDoubling)
 }
 
 // ran returns how long the current attempt has run; a starting one has not run.
@@ -265,36 +334,3 @@
 	}
 	return len(r.Members)
 }
-
-// reserve keeps the place that the job can have soonest from being delayed by
-// backfill. Only the first job that does not fit gets a reservation.
-func (p *planning) reserve(it *queue.Item) {
-	wait := func(gang int) (float64, bool) {
-		if gang >= p.running {
-			return 0, false
-		}
-		return p.left(gang).Seconds(), true
-	}
-	found := placement.Find(p.table, p.request(it), wait)
-	if found == nil {
-		return
-	}
-	p.reserved = make([]topology.Mask, len(p.table.Nodes))
-	for i := range found.Members {
-		if node, ok := p.table.Index(found.Members[i].Worker); ok {
-			p.reserved[node] |= topology.Of(found.Members[i].Accelerators)
-		}
-	}
-	for _, gang := range found.Clear {
-		p.shadow = max(p.shadow, p.left(gang))
-	}
-}
-
-// left returns when a running gang is expected to end.
-func (p *planning) left(gang int) time.Duration {
-	if p.stopping[gang] {
-		return reclaim.StopTime
-	}
-	g := &p.table.Gangs[gang]
-	return p.estimates.Expected(g.Class, gangSize(g.Placement), p.ran(g)+p.snap.Served[g.Job])
-}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -22,8 +22,10 @@
 	orgs      map[model.Organisation]*Organisation
 	used      map[model.Organisation]int // accelerators in the whole deployment
 	levels    []int                      // by running gang, -1 until computed
+	lefts     []time.Duration            // by running gang, -1 until computed
 	stopping  map[int]bool               // gangs that stop already or in this plan
 	held      []topology.Mask            // promised to jobs that wait for victims
+	head      *queue.Item                // the first gang that does not fit
 	reserved  []topology.Mask            // for the head gang, nil without one
 	shadow    time.Duration              // when the head gang can start
 	decided   map[*model.Job]bool
@@ -43,13 +45,13 @@
 	priority model.Priority
 	aged     bool
 	pinned   bool
+	backfill bool
 }
 
 type searchKind int
 
 const (
 	searchFree searchKind = iota
-	searchBackfill
 	searchPreempt
 	searchGuaranteed
 )
@@ -67,6 +69,7 @@
 	}
 	items := p.admit()
 	p.passUrgent(items)
+	p.passHead(items)
 	p.passGuaranteed(items)
 	p.passSpare(items)
 	return p.out
@@ -82,6 +85,7 @@
 	}
 	p.book = p.newBook(nil)
 	p.levels = make([]int, p.running)
+	p.lefts = make([]time.Duration, p.running)
 	weights := make(map[model.Organisation]int, len(s.Organisations))
 	for i := range s.Organisations {
 		o := &s.Organisations[i]
@@ -99,6 +103,7 @@
 func (p *planning) countRunning(id int, r *model.Placement) {
 	n := accelerators(r)
 	p.levels[id] = -1
+	p.lefts[id] = -1
 	p.used[r.Job.Organisation] += n
 	p.shares.Charge(r.Job.Organisation, max(n, 1))
 	if p.snap.Stopping[r.Job] {
@@ -245,7 +250,7 @@
 	p.hold(found.Members)
 	p.reason(it.Job, model.ReasonPreempting, "waits for preempted work to stop")
 	for _, gang := range found.Clear {
-		p.preempt(gang, it, model.ReasonPreempted)
+		p.preempt(gang, spec.Key, model.ReasonPreempted)
 	}
 }
 
@@ -258,16 +263,20 @@
 	}
 }
 
-func (p *planning) preempt(gang int, it *queue.Item, code model.ReasonCode) {
+func (p *planning) preempt(gang int, by model.JobKey, code model.ReasonCode) {
 	if p.stopping[gang] {
 		return
 	}
 	p.stopping[gang] = true
 	g := &p.table.Gangs[gang]
+	detail := "makes room for a waiting gang"
+	if code != model.ReasonDefrag {
+		detail = "for " + by.String()
+	}
 	p.out.Preempt = append(p.out.Preempt, Preemption{
-		Job: g.Job, Attempt: g.Attempt, Checkpoint: true, For: it.Job.Spec.Key, Code: code,
+		Job: g.Job, Attempt: g.Attempt, Checkpoint: true, For: by, Code: code,
 	})
 	p.out.Reasons = append(p.out.Reasons, model.Reason{
-		Job: g.Job, Code: code, Detail: "for " + it.Job.Spec.Key.String(), UnixMS: p.snap.Now.UnixMilli(),
+		Job: g.Job, Code: code, Detail: detail, UnixMS: p.snap.Now.UnixMilli(),
 	})
 }
--- a/internal/queue/history.go
+++ b/internal/queue/history.go
@@ -2,7 +2,9 @@
 package queue
 
 import (
+	"math"
 	"math/bits"
+	"sort"
 	"sync"
 	"time"
 
@@ -25,8 +27,16 @@
 // History holds run times learned from finished jobs by organisation, service and
 // gang size. The zero value and nil are empty. It is safe for concurrent use.
 type History struct {
-	mu     sync.RWMutex
-	groups map[group]*hdrhistogram.Histogram
+	mu     sync.Mutex
+	groups map[group]*runtimes
+}
+
+// runtimes holds one group's run times. The cumulative counts are computed when they
+// are first needed after a change.
+type runtimes struct {
+	hist   *hdrhistogram.Histogram
+	bounds []int64 // upper bounds of the histogram's bars in seconds
+	counts []int64 // run times up to each bound
 }
 
 // group is a class with a gang size rounded up to a power of two. Size anySize holds
@@ -47,17 +57,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.groups == nil {
-		h.groups = make(map[group]*hdrhistogram.Histogram)
+		h.groups = make(map[group]*runtimes)
 	}
 	seconds := min(max(int64(runtime/time.Second), 1), maxRuntimeSeconds)
 	for _, key := range []group{{class, SizeBucket(gangSize)}, {class, anySize}} {
-		hist := h.groups[key]
-		if hist == nil {
-			hist = hdrhistogram.New(1, maxRuntimeSeconds, runtimeDigits)
-			h.groups[key] = hist
+		r := h.groups[key]
+		if r == nil {
+			r = &runtimes{hist: hdrhistogram.New(1, maxRuntimeSeconds, runtimeDigits)}
+			h.groups[key] = r
 		}
 		// The value is clamped to the histogram's range, so this cannot fail.
-		_ = hist.RecordValue(seconds)
+		_ = r.hist.RecordValue(seconds)
+		r.bounds, r.counts = nil, nil
 	}
 }
 
@@ -67,11 +78,11 @@
 	if h == nil {
 		return 0, false
 	}
-	h.mu.RLock()
-	defer h.mu.RUnlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, key := range []group{{class, SizeBucket(gangSize)}, {class, anySize}} {
-		if hist := h.groups[key]; hist != nil && hist.TotalCount() >= minObservations {
-			return time.Duration(hist.ValueAtQuantile(q*100)) * time.Second, true
+		if left, ok := h.groups[key].remaining(0, q); ok {
+			return left, true
 		}
 	}
 	return 0, false
@@ -83,31 +94,46 @@
 	if h == nil {
 		return 0, false
 	}
-	h.mu.RLock()
-	defer h.mu.RUnlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, key := range []group{{class, SizeBucket(gangSize)}, {class, anySize}} {
-		if left, ok := remaining(h.groups[key], attained, q); ok {
+		if left, ok := h.groups[key].remaining(attained, q); ok {
 			return left, true
 		}
 	}
 	return 0, false
 }
 
-func remaining(hist *hdrhistogram.Histogram, attained time.Duration, q float64) (time.Duration, bool) {
-	if hist == nil {
+func (r *runtimes) remaining(attained time.Duration, q float64) (time.Duration, bool) {
+	if r == nil {
 		return 0, false
 	}
+	r.accumulate()
 	seconds := int64(attained / time.Second)
-	var below int64
-	for _, bar := range hist.Distribution() {
-		if bar.To <= seconds {
-			below += bar.Count
-		}
+	total := r.counts[len(r.counts)-1]
+	below := int64(0)
+	if i := sort.Search(len(r.bounds), func(i int) bool { return r.bounds[i] > seconds }); i > 0 {
+		below = r.counts[i-1]
 	}
-	if hist.TotalCount()-below < minObservations {
+	if total-below < minObservations {
 		return 0, false
 	}
-	share := float64(below) / float64(hist.TotalCount())
-	total := hist.ValueAtQuantile((share + (1-share)*q) * 100)
-	return time.Duration(max(total-seconds, 1)) * time.Second, true
+	want := below + int64(math.Ceil(float64(total-below)*q))
+	i := sort.Search(len(r.counts), func(i int) bool { return r.counts[i] >= want })
+	return time.Duration(max(r.bounds[i]-seconds, 1)) * time.Second, true
+}
+
+func (r *runtimes) accumulate() {
+	if r.counts != nil {
+		return
+	}
+	sum := int64(0)
+	for _, bar := range r.hist.Distribution() {
+		if bar.Count == 0 {
+			continue
+		}
+		sum += bar.Count
+		r.bounds = append(r.bounds, bar.To)
+		r.counts = append(r.counts, sum)
+	}
 }
--- a/internal/topology/table.go
+++ b/internal/topology/table.go
@@ -128,3 +128,16 @@
 	}
 	return shards
 }
+
+// Clone returns a copy that can be changed apart from t.
+func (t *Table) Clone() *Table {
+	c := &Table{
+		Nodes: append([]Node(nil), t.Nodes...), Racks: t.Racks,
+		Gangs: t.Gangs[:len(t.Gangs):len(t.Gangs)], index: t.index,
+	}
+	for i := range c.Nodes {
+		n := &c.Nodes[i]
+		n.Tasks = n.Tasks[:len(n.Tasks):len(n.Tasks)]
+	}
+	return c
+}
