Keep heartbeats below 6 KB/s and tell restarted hosts apart

Cause: at 13 zones and 104 hosts a host sent 7180 and received 7525 bytes/s of heartbeats, rotations that coincide left live hosts unheard for 3 s, and a host whose wall clock was set back before a restart was ignored while others shared contacts with it.

--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/membership"
@@ -20,10 +21,13 @@
 	if len(zones) == 0 {
 		return nil
 	}
+	begin := s.opts.Now()
 	ctx, cancel := context.WithTimeout(ctx, maxZoneWait)
 	defer cancel()
 	for ctx.Err() == nil {
-		holds := func(r membership.Report) bool { return r.ConfigVersion >= version }
+		holds := func(r membership.Report) bool {
+			return r.ConfigVersion >= version && !r.AnsweredAt.Before(begin)
+		}
 		t := s.tally(s.inForce() >= version, holds)
 		if t.majority() || t.everywhere(zones) {
 			return nil
@@ -39,8 +43,11 @@
 // heldWidely reports whether a pending change is held by hosts in a majority of
 // zones and, if it takes the zone out, by the zone's own hosts: a zone that is cut
 // off from its peers may still read the log, where the change is missing.
-func (s *Sync) heldWidely(id string, zone model.Zone, inService bool) bool {
-	holds := func(r membership.Report) bool { return slices.Contains(r.Pending, id) }
+// Answers from before since do not count: the host may have restarted.
+func (s *Sync) heldWidely(id string, zone model.Zone, inService bool, since time.Time) bool {
+	holds := func(r membership.Report) bool {
+		return slices.Contains(r.Pending, id) && !r.AnsweredAt.Before(since)
+	}
 	t := s.tally(true, holds)
 	if !t.majority() {
 		return false
--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -18,8 +18,11 @@
 const (
 	// fetchDelay lets the log deliver a version first, so that a text is not sent
 	// twice to every host.
-	fetchDelay   = 300 * time.Millisecond
-	fetchRetry   = 300 * time.Millisecond
+	fetchDelay = 300 * time.Millisecond
+	fetchRetry = 300 * time.Millisecond
+	// gapRetry is the pause while records are missing here and no peer's text
+	// closes the gap. Each try moves a whole text.
+	gapRetry     = 3 * time.Second
 	fetchTimeout = time.Second
 )
 
@@ -80,11 +83,20 @@
 			wait(ctx, nil, fetchDelay)
 		}
 		if s.mustFetch() && !s.fetchFromAny(ctx) {
-			wait(ctx, nil, fetchRetry)
+			wait(ctx, nil, s.retryPause())
 		}
 	}
 }
 
+func (s *Sync) retryPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fold.synced {
+		return fetchRetry
+	}
+	return gapRetry
+}
+
 // wait waits for a change or for d, or for the change only if d is 0.
 func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	var timer <-chan time.Time
--- a/internal/configsync/pending.go
+++ b/internal/configsync/pending.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sort"
 	"time"
 
@@ -187,12 +186,11 @@
 	ctx, cancel := context.WithTimeout(ctx, pendingAppendTimeout)
 	defer cancel()
 	version, err := s.publishZone(ctx, c.id, c.zone, !c.out)
-	var apiErr *apierror.Error
-	switch {
-	case err == nil:
+	switch codeOf(err) {
+	case "":
 		s.event("pending change %s of zone %s accepted as version %d", c.id, c.zone, version)
-	case errors.As(err, &apiErr) && apiErr.Code == apierror.CodeNotFound:
-		s.drop(c, apiErr)
+	case apierror.CodeNotFound, apierror.CodeTooLarge:
+		s.drop(c, err)
 	default:
 		s.opts.Logger.Info("configsync: pending change is not appended yet",
 			zap.String("id", c.id), zap.Error(err))
--- a/internal/configsync/publish.go
+++ b/internal/configsync/publish.go
@@ -7,7 +7,6 @@
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/config"
-	"github.com/daisyfold/daisyfold/internal/finding"
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
 )
@@ -28,6 +27,7 @@
 	if err != nil {
 		return 0, err
 	}
+	id = "text/" + id // apart from the ids of zone changes
 	zones := s.zonesTakenOut(base, parsed)
 	version, err := s.publishOnce(ctx, id, base, text)
 	if err != nil {
@@ -149,12 +149,3 @@
 	}
 	return 0, apierror.Unknown(apierror.CodeUnknownOutcome, "the edit may be accepted later: %v", err)
 }
-
-// Findings returns the findings of an error that Publish returned.
-func Findings(err error) finding.List {
-	var e *apierror.Error
-	if errors.As(err, &e) {
-		return e.Findings
-	}
-	return nil
-}
--- a/internal/configsync/zone.go
+++ b/internal/configsync/zone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -37,17 +38,37 @@
 	if s.inForce() == 0 {
 		return "", 0, apierror.NotRun(apierror.CodeNoConfig, "this host has no configuration")
 	}
+	// The change is part of the edit's id, so that an id that is used again for
+	// another change is another edit.
+	id = fmt.Sprintf("zone/%s/%t/%s", zone, inService, id)
 	version, err = s.publishZoneNow(ctx, id, zone, inService)
-	if err == nil {
+	switch codeOf(err) {
+	case "":
 		return s.acceptedZone(ctx, version, zone, inService)
-	}
-	var e *apierror.Error
-	if errors.As(err, &e) && (e.Code == apierror.CodeLogUnavailable || e.Code == apierror.CodeUnknownOutcome) {
+	case apierror.CodeLogUnavailable:
 		return s.setPending(ctx, id, zone, inService)
+	case apierror.CodeUnknownOutcome:
+		state, version, pendingErr := s.setPending(ctx, id, zone, inService)
+		if pendingErr != nil {
+			return "", 0, err // the record that was sent may still be accepted
+		}
+		return state, version, nil
 	}
 	return "", 0, err
 }
 
+// codeOf returns the code of an error that this package made, or "" for nil.
+func codeOf(err error) apierror.Code {
+	var e *apierror.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	if err != nil {
+		return apierror.CodeInternal
+	}
+	return ""
+}
+
 func (s *Sync) acceptedZone(ctx context.Context, version int64, zone model.Zone, inService bool) (string, int64, error) {
 	if !inService {
 		if err := s.confirmOut(ctx, version, []model.Zone{zone}); err != nil {
@@ -96,8 +117,8 @@
 // raced reports whether another edit came first, or another holder published the
 // same change on another base.
 func raced(err error) bool {
-	var e *apierror.Error
-	return errors.As(err, &e) && (e.Code == apierror.CodeVersionConflict || e.Code == apierror.CodeIDReused)
+	code := codeOf(err)
+	return code == apierror.CodeVersionConflict || code == apierror.CodeIDReused
 }
 
 func (s *Sync) cancelWhenDown(ctx context.Context, cancel context.CancelFunc) {
@@ -150,6 +171,7 @@
 	if err := s.addPending(id, zone, !inService); err != nil {
 		return "", 0, err
 	}
+	begin := s.opts.Now()
 	ctx, cancel := context.WithTimeout(ctx, maxZoneWait)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -157,7 +179,7 @@
 		if version := s.acceptedAs(id); version > 0 {
 			return s.acceptedZone(ctx, version, zone, inService)
 		}
-		if s.heldWidely(id, zone, inService) {
+		if s.heldWidely(id, zone, inService, begin) {
 			return StatePending, 0, nil
 		}
 		wait(ctx, nil, announcePeriod)
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/model"
@@ -151,14 +152,14 @@
 		return ans
 	}
 	m.absorb(p, req, now, true)
-	var contacts []*peer.HostContact
+	var shared contacts
 	if p.Zone == m.opts.Self.Zone {
-		contacts = m.newContacts(p, m.observer.ConfigVersion())
+		shared = m.newContacts(p, m.observer.ConfigVersion())
 	}
 	// The state is read after the contacts, so that it holds every version and
 	// pending change that came with them.
 	ans := m.selfReport()
-	ans.Contacts = contacts
+	ans.Contacts, ans.Callers = shared.answers, shared.callers
 	return ans
 }
 
@@ -186,47 +187,45 @@
 	return int64((m.opts.Now().Sub(t) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// newContacts returns the contacts with other zones since the last answer to p. A
+// contacts are the signs of life from other zones that hosts of a zone share.
+type contacts struct {
+	answers []*peer.HostContact
+	callers []uint32
+}
+
+// newContacts returns the contacts with other zones since the last answer to p.
+// Every host calls some host of each zone once a period, so with the shared callers
+// every host of a zone hears of every live host, however the rotations coincide. A
 // report of a version above the own one is not shared: the receiver could not tell
 // that it lacks that version.
-func (m *Membership) newContacts(p *peerState, version int64) []*peer.HostContact {
+func (m *Membership) newContacts(p *peerState, version int64) contacts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	since := p.sharedAt
 	p.sharedAt = m.opts.Now()
-	var out []*peer.HostContact
+	var out contacts
 	for _, c := range m.peers {
 		if c.Zone == m.opts.Self.Zone {
 			continue
 		}
-		if c.answeredAt.After(since) && c.report.ConfigVersion <= version {
-			out = append(out, &peer.HostContact{
-				Host: string(c.Host), AgeMs: uint32(m.ageMS(c.report.At)),
-				LogReachable: c.report.LogReachable, LogAgeMs: int32(m.ageMS(c.report.LogAt)),
-			})
-		} else if c.calledAt.After(since) && m.outnumbered(c.Zone) {
-			out = append(out, &peer.HostContact{
-				Host: string(c.Host), AgeMs: uint32(m.ageMS(c.calledAt)), Called: true,
+		if notBefore(c.answeredAt, since) && c.report.ConfigVersion <= version {
+			out.answers = append(out.answers, &peer.HostContact{
+				HostHash: hostHash(c.Host), AgeMs: uint32(m.ageMS(c.report.At)),
+				LogUnreachable: !c.report.LogReachable, LogAgeMs: int32(m.ageMS(c.report.LogAt)),
 			})
+		} else if notBefore(c.calledAt, since) {
+			out.callers = append(out.callers, hostHash(c.Host))
 		}
 	}
 	return out
 }
 
-// outnumbered reports whether another zone has more hosts than the own one. Then
-// one round of the own heartbeats does not reach all of its hosts in time, and the
-// calls that arrive from there are shared too.
-func (m *Membership) outnumbered(zone model.Zone) bool {
-	own, other := 1, 0
-	for _, p := range m.peers {
-		switch p.Zone {
-		case m.opts.Self.Zone:
-			own++
-		case zone:
-			other++
-		}
-	}
-	return other > own
+func hostHash(host model.HostID) uint32 { return uint32(xxhash.Sum64String(string(host))) }
+
+// notBefore includes the moment since itself: a contact at the very moment of the
+// last answer is shared twice rather than never.
+func notBefore(t, since time.Time) bool {
+	return !t.IsZero() && !t.Before(since)
 }
 
 func (m *Membership) allPeers() []*peerState {
--- a/internal/membership/owner.go
+++ b/internal/membership/owner.go
@@ -23,3 +23,19 @@
 	}
 	return best, best != ""
 }
+
+// deploymentAppends is the log budget of the whole deployment, in appends per second.
+const deploymentAppends = 300
+
+// AppendShare returns this host's share of the deployment's append rate. During a
+// partition both sides' shares grow; the log service refuses what is too much, and
+// refused appends are repeated.
+func (m *Membership) AppendShare() float64 {
+	live := 0
+	for _, x := range m.opts.Members.List() {
+		if x.Alive {
+			live++
+		}
+	}
+	return deploymentAppends / float64(max(1, live))
+}
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -32,6 +32,9 @@
 	// LogAt is a moment not later than the peer's last reading of the config
 	// stream up to its head; zero if there was none.
 	LogAt time.Time
+	// AnsweredAt is At of the last answer that came from the host itself; At may be
+	// of a later one that a host of the own zone shared.
+	AnsweredAt time.Time
 	// Pending are the IDs of the pending zone changes that the peer stores.
 	Pending []string
 	// Called is set for a report that came as a request, whose delay is unknown.
@@ -50,6 +53,7 @@
 	inFlight    bool
 	lastSeen    time.Time // last sign of life
 	report      Report
+	acceptedAt  time.Time // when the last report of its incarnation arrived
 	answeredAt  time.Time // when the last direct answer arrived
 	calledAt    time.Time // when it last called this host
 	sharedAt    time.Time // when contacts were last shared with it
@@ -69,14 +73,17 @@
 
 // accepts reports whether a report belongs to the peer's current process. A lower
 // incarnation is a late message of the previous process, unless the known process
-// is silent: then the wall clock that numbers incarnations was set back.
+// sent nothing for a while: then the wall clock that numbers incarnations was set
+// back. Contacts that others share do not count, because they carry no incarnation.
 func (m *Membership) accepts(p *peerState, incarnation int64, now time.Time) bool {
 	if incarnation == p.incarnation {
+		p.acceptedAt = now
 		return true
 	}
-	if incarnation < p.incarnation && m.alive(p, now) {
+	if incarnation < p.incarnation && now.Sub(p.acceptedAt) < m.silence(p) {
 		return false
 	}
+	p.acceptedAt = now
 	p.incarnation = incarnation
 	p.report = Report{}
 	p.leaving = false
@@ -86,8 +93,16 @@
 // absorb stores a report. sent is when the answered request was sent, or the time
 // of arrival for a request.
 func (m *Membership) absorb(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
+	if !m.store(p, r, sent, called) {
+		return false
+	}
+	m.updateTable()
+	return true
+}
+
+func (m *Membership) store(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
 	report := Report{
-		Host: p.Host, Zone: p.Zone, At: sent, Called: called,
+		Host: p.Host, Zone: p.Zone, At: sent, AnsweredAt: sent, Called: called,
 		ConfigVersion: r.ConfigVersion, LogReachable: r.LogReachable,
 	}
 	if r.LogAgeMs >= 0 {
@@ -113,7 +128,11 @@
 		return true
 	}
 	p.answeredAt = now
-	if sent.After(p.report.At) {
+	if sent.After(p.report.AnsweredAt) {
+		if p.report.At.After(report.At) {
+			report.At, report.LogReachable = p.report.At, p.report.LogReachable
+		}
+		report.LogAt = later(report.LogAt, p.report.LogAt)
 		p.report = report
 	}
 	return true
@@ -122,27 +141,57 @@
 // absorbContacts stores what a host of the own zone shared. The contacts' ages are
 // counted from the moment at which the request was sent.
 func (m *Membership) absorbContacts(r *peer.HostReport, sent time.Time) {
+	if len(r.Contacts) == 0 && len(r.Callers) == 0 {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	byHash := m.byHash()
 	for _, c := range r.Contacts {
-		p := m.peers[model.HostID(c.Host)]
-		if p == nil {
-			continue
+		if p := byHash[c.HostHash]; p != nil {
+			absorbContact(p, c, sent)
+		}
+	}
+	for _, h := range r.Callers {
+		if p := byHash[h]; p != nil {
+			// They called within the last period before the answer.
+			p.lastSeen = later(p.lastSeen, sent.Add(-zonePeriod))
 		}
-		at := sent.Add(-time.Duration(c.AgeMs) * time.Millisecond)
-		p.lastSeen = later(p.lastSeen, at)
-		if c.Called || !at.After(p.report.At) {
+	}
+}
+
+// absorbContact stores a shared report. The sharer passes on only reports of
+// versions up to its own, and its own version was observed with its answer.
+func absorbContact(p *peerState, c *peer.HostContact, sent time.Time) {
+	at := sent.Add(-time.Duration(c.AgeMs) * time.Millisecond)
+	p.lastSeen = later(p.lastSeen, at)
+	if !at.After(p.report.At) {
+		return
+	}
+	p.report.Host, p.report.Zone, p.report.At = p.Host, p.Zone, at
+	p.report.LogReachable = !c.LogUnreachable
+	if c.LogAgeMs >= 0 {
+		logAt := sent.Add(-time.Duration(c.LogAgeMs) * time.Millisecond)
+		p.report.LogAt = later(p.report.LogAt, logAt)
+	}
+}
+
+// byHash returns the peers of other zones by their hash. Two hosts with the same
+// hash are left out: a contact must not be taken for that of another host.
+func (m *Membership) byHash() map[uint32]*peerState {
+	out := make(map[uint32]*peerState, len(m.peers))
+	for _, p := range m.peers {
+		if p.Zone == m.opts.Self.Zone {
 			continue
 		}
-		// The sharer passes on only reports of versions up to its own, and its own
-		// version was observed with its report.
-		p.report.Host, p.report.Zone, p.report.At = p.Host, p.Zone, at
-		p.report.LogReachable = c.LogReachable
-		if c.LogAgeMs >= 0 {
-			logAt := sent.Add(-time.Duration(c.LogAgeMs) * time.Millisecond)
-			p.report.LogAt = later(p.report.LogAt, logAt)
+		h := hostHash(p.Host)
+		if _, taken := out[h]; taken {
+			out[h] = nil
+			continue
 		}
+		out[h] = p
 	}
+	return out
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -19,10 +19,11 @@
 // DialHTTP returns a client that speaks unencrypted HTTP/2: its compressed headers
 // are a tenth of those of HTTP/1.1 and would otherwise be most of a heartbeat.
 func DialHTTP(address string) peer.Peer {
-	return dialWith(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return DialHTTPOver(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
 }
 
-func dialWith(address string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) peer.Peer {
+// DialHTTPOver is DialHTTP over connections that dial opens.
+func DialHTTPOver(address string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) peer.Peer {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	t := &http.Transport{
--- a/internal/statetest/config_test.go
+++ b/internal/statetest/config_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
+	"github.com/daisyfold/daisyfold/internal/journal"
 )
 
 // Guards I9: a version must be in force at all 8 hosts within 3 s and an older one
@@ -38,6 +39,19 @@
 	})
 }
 
+// appendEdit appends an edit as a host would that has not read the last records.
+func (c *cluster) appendEdit(id string, base int64) {
+	r, err := journal.NewRecord(journal.KindConfigEdit, "behind", fmt.Sprintf("behind/%s/%d", id, base), time.Now(),
+		journal.ConfigEdit{ID: "text/" + id, BaseVersion: base, Text: textOf(id)})
+	if err == nil {
+		_, err = c.node(0).journal.Append(context.Background(), journal.StreamConfig, r)
+	}
+	if err != nil {
+		c.t.Error(err)
+	}
+	time.Sleep(time.Second)
+}
+
 func (c *cluster) everywhere(version int64) bool {
 	for _, p := range c.peers {
 		if n := c.nodes[p.Host]; n != nil && n.sync.ConfigVersion() != version {
@@ -86,6 +100,10 @@
 		if err != nil || v != 6 {
 			t.Errorf("repeated id at a fresh host: version %d, %v; want 6", v, err)
 		}
+		c.appendEdit("4", 6)
+		if !c.everywhere(6) {
+			t.Error("a repeated id on a new base made a version")
+		}
 		if _, err := c.nodes[late.Host].sync.Publish(context.Background(), "next", 6, textOf("next")); err != nil {
 			t.Error(err)
 		}
--- a/internal/statetest/log_test.go
+++ b/internal/statetest/log_test.go
@@ -29,6 +29,8 @@
 	// share that takes effect a second after its error, refused that of 503.
 	lost, late, refused float64
 	appends             int
+	lateRecords         int
+	lastAppend          time.Time
 	maxBytes            int
 }
 
@@ -87,6 +89,7 @@
 	l.mu.Lock()
 	p := l.rng.Float64()
 	l.appends++
+	l.lastAppend = time.Now()
 	size := 0
 	for _, r := range records {
 		size += len(r)
@@ -100,6 +103,7 @@
 		l.write(stream, records)
 		return 0, errNoAnswer
 	case p < l.refused+l.lost+l.late:
+		l.set(func() { l.lateRecords += len(records) })
 		time.AfterFunc(time.Second, func() { l.write(stream, records) })
 		return 0, errNoAnswer
 	}
