Answer repeated ids and stale bases by the log, not by a host's lag

A base above the host's version was written, so its record ID was used up before that version came; a host that lagged answered a conflict that was not true; and a repeated id was answered with a conflict when the version that it had made arrived during the call. Change: a base that is not in force is never written; it is a conflict only after a log read up to the head that began after the call; the id is looked up again before a conflict is answered.

--- a/internal/configsync/publish.go
+++ b/internal/configsync/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/config"
@@ -17,6 +18,10 @@
 	MaxTextBytes = 128 << 10
 	// maxIDBytes bounds an edit's ID, so that the remembered edits stay small.
 	maxIDBytes = 64
+	// maxBehind bounds the wait for a version that this host has not read yet.
+	maxBehind = 2 * time.Second
+	// behindCheck is how often that wait looks at the log's state.
+	behindCheck = 20 * time.Millisecond
 )
 
 // Publish replaces the text if base is the version in force and returns the new
@@ -89,13 +94,39 @@
 	if !s.opts.Journal.State().Answering || !s.ready() {
 		return 0, apierror.NotRun(apierror.CodeLogUnavailable, "the log service cannot be read")
 	}
-	if current := s.folded().Version; base < current {
-		return 0, conflict(base, current)
+	if baseErr := s.checkBase(ctx, base); baseErr != nil {
+		// The version that passed the base may be the one that this id made.
+		if version, err := s.earlier(id, text); version > 0 || err != nil {
+			return version, err
+		}
+		return 0, baseErr
 	}
 	err := s.appendEdit(ctx, id, base, text)
 	return s.judge(id, base, text, err)
 }
 
+// checkBase refuses a base that is not in force. A base above the own version is not
+// written: the log would refuse the record, and its ID could not be used again when
+// that version comes. It is a conflict only if the log, read to its head after the
+// call began, does not have that version either.
+func (s *Sync) checkBase(ctx context.Context, base int64) error {
+	begin := s.opts.Now()
+	ctx, cancel := context.WithTimeout(ctx, maxBehind)
+	defer cancel()
+	for {
+		head := s.LogState().LastHead
+		switch current := s.folded().Version; {
+		case current == base:
+			return nil
+		case current > base || head.After(begin):
+			return conflict(base, current)
+		case ctx.Err() != nil:
+			return apierror.NotRun(apierror.CodeLogUnavailable, "this host has version %d and cannot read the log", current)
+		}
+		wait(ctx, nil, behindCheck)
+	}
+}
+
 // earlier returns the version that the id made before, or 0.
 func (s *Sync) earlier(id string, text []byte) (int64, error) {
 	s.mu.Lock()
--- a/internal/statetest/race_test.go
+++ b/internal/statetest/race_test.go
@@ -102,7 +102,7 @@
 // id is accepted once, and "not run" stays true, while append answers are lost or
 // late, the log fails for seconds and hosts cannot reach it.
 func TestRacingOperators(t *testing.T) {
-	for i := range max(4, *roundsFlag/4) {
+	for i := range max(4, *roundsFlag/2) {
 		seed := *seedFlag + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { racingRound(t, seed) })
