--- a/internal/bench/figure.go
+++ b/internal/bench/figure.go
@@ -14,6 +14,7 @@
 // sources produce the figures of a run, in the order of the output.
 var sources = []func(seed int64) []Figure{
 	Jobs,
+	Requests,
 }
 
 // All returns the figures of all sources.
--- a/internal/bench/requestsim.go
+++ b/internal/bench/requestsim.go
@@ -85,7 +85,7 @@
 	scenario scenario
 	random   *rand.Rand
 	now      time.Duration
-	events   eventHeap
+	events   callHeap
 	sequence int
 	hosts    []*simHost
 	targets  map[model.TargetID]*simTarget
@@ -106,7 +106,7 @@
 	listed := s.addTargets()
 	s.addHosts(seed, listed, policy)
 	for s.events.Len() > 0 && s.measured.TotalCount() < int64(sc.requests) {
-		e := heap.Pop(&s.events).(event)
+		e := heap.Pop(&s.events).(callEvent)
 		s.now = e.at
 		e.run()
 	}
@@ -304,22 +304,22 @@
 	}
 }
 
-// event is something that happens at a virtual time.
-type event struct {
+// callEvent is something that happens at a virtual time.
+type callEvent struct {
 	at       time.Duration
 	sequence int // orders events of the same time
 	run      func()
 }
 
-type eventHeap []event
+type callHeap []callEvent
 
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
+func (h callHeap) Len() int { return len(h) }
+func (h callHeap) Less(i, j int) bool {
 	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequence < h[j].sequence
 }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
+func (h callHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *callHeap) Push(x any)   { *h = append(*h, x.(callEvent)) }
+func (h *callHeap) Pop() any {
 	old := *h
 	e := old[len(old)-1]
 	*h = old[:len(old)-1]
@@ -328,7 +328,7 @@
 
 func (s *requestSim) after(d time.Duration, run func()) {
 	s.sequence++
-	heap.Push(&s.events, event{at: s.now + d, sequence: s.sequence, run: run})
+	heap.Push(&s.events, callEvent{at: s.now + d, sequence: s.sequence, run: run})
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
