Go on in a zone that lost half of its workers; keep jobs beyond retention

Jobs older than the log's retention were unknown to fresh hosts. Change: the majority of workers is only needed while the log is down; jobs are appended again when their base record is older than half the retention, the table is rebuilt after a gap, a gap makes a stream unreplayed until its new head is read; links of workers that left the list end; setting logRetentionSeconds.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,7 @@
 	s := d.Settings
 	d.journal = journal.New(journal.Options{
 		Log: d.Outside.Log, Host: s.Host, Now: d.Now,
-		AppendsPerSecond: d.appendShare, Retention: logRetention, Logger: d.Logger,
+		AppendsPerSecond: d.appendShare, Retention: s.Retention(), Logger: d.Logger,
 	})
 	self := membership.Peer{Host: s.Host, Zone: s.Zone, Address: "http://" + s.Listen.Peer}
 	var peers []membership.Peer
@@ -73,7 +73,7 @@
 	})
 	d.sync = configsync.New(configsync.Options{
 		Board: d.board, Journal: d.journal, Members: d.members, Parse: parseText,
-		EditZone: config.SetZone, Retention: logRetention, Now: d.Now, Logger: d.Logger,
+		EditZone: config.SetZone, Retention: s.Retention(), Now: d.Now, Logger: d.Logger,
 	})
 	d.journal.Register(journal.StreamConfig, d.sync)
 	d.journal.RegisterSnapshotter(d.sync)
@@ -106,9 +106,10 @@
 	d.jobs = jobs.NewService(jobs.Options{
 		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Journal: d.journal,
 		Table: d.table, Copier: d.members, Keeper: d.journal.Copies(),
-		NewID: d.NewID, Now: d.Now, Logger: d.part("jobs"),
+		NewID: d.NewID, Now: d.Now, Retention: d.Settings.Retention(), Logger: d.part("jobs"),
 	})
 	d.journal.Register(journal.StreamJobs, d.table)
+	d.journal.RegisterSnapshotter(d.jobs)
 }
 
 func (d *Daemon) buildCalls() {
@@ -193,7 +194,7 @@
 	g.Go(func() error { d.shards.Run(ctx); return nil })
 	g.Go(func() error { return every(ctx, hostListInterval, d.fetchHosts) })
 	g.Go(func() error {
-		return every(ctx, pruneInterval, func(context.Context) { d.table.Prune() })
+		return every(ctx, pruneInterval, func(context.Context) { d.table.Prune(d.Settings.Retention()) })
 	})
 }
 
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -24,11 +24,8 @@
 const (
 	hostListInterval = time.Second
 	hostListTimeout  = 2 * time.Second
-	// logRetention is how long the platform's log keeps records at least; live
-	// state is appended again several times within it.
-	logRetention  = time.Hour
-	pruneInterval = time.Minute
-	readHeader    = 5 * time.Second
+	pruneInterval    = time.Minute
+	readHeader       = 5 * time.Second
 	// flushTimeout bounds the last appends of a planned stop.
 	flushTimeout = 5 * time.Second
 )
--- a/internal/jobs/fold.go
+++ b/internal/jobs/fold.go
@@ -22,6 +22,9 @@
 	PlacedRecord string
 	// PlacedBy is the host that appended it.
 	PlacedBy model.HostID
+	// BaseUnixMS is the time of the record, an acceptance or a snapshot, from which
+	// a fresh host can rebuild the entry. Retention must not drop it.
+	BaseUnixMS int64
 	// Failures counts attempts that ended because a task failed by itself.
 	Failures int
 }
@@ -96,7 +99,7 @@
 		Job: model.Job{
 			Spec: b.Spec, State: model.JobWaiting, Home: b.Home, AcceptedUnixMS: b.UnixMS,
 		},
-		Digest: Digest(b.Spec),
+		Digest: Digest(b.Spec), BaseUnixMS: r.UnixMS,
 	}, true
 }
 
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -47,7 +47,9 @@
 	Keeper  Keeper
 	NewID   func() string
 	Now     func() time.Time
-	Logger  *zap.Logger
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	Logger    *zap.Logger
 }
 
 // Service accepts, cancels and finds jobs.
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -76,7 +76,7 @@
 	t.mu.Lock()
 	t.last = offset
 	if r.Kind == journal.KindJobSnapshot {
-		t.applySnapshot(key, offset, r)
+		t.applySnapshot(key, r)
 	} else {
 		t.applyLogged(key, offset, r)
 	}
@@ -107,12 +107,21 @@
 	t.nOrphan++
 }
 
-func (t *Table) applySnapshot(key model.JobKey, _ int64, r journal.Record) {
+func (t *Table) applySnapshot(key model.JobKey, r journal.Record) {
 	var b journal.JobSnapshot
-	if t.entries[key] != nil || json.Unmarshal(r.Body, &b) != nil {
+	if json.Unmarshal(r.Body, &b) != nil {
 		return
 	}
-	e := &Entry{Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec)}
+	if cur := t.entries[key]; cur != nil {
+		n := *cur
+		n.BaseUnixMS = r.UnixMS
+		t.store(key, &n)
+		return
+	}
+	e := &Entry{
+		Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec), BaseUnixMS: r.UnixMS,
+		PlacedRecord: b.PlacedRecord, PlacedBy: b.PlacedBy, Failures: b.Failures,
+	}
 	for _, o := range t.orphans[key] {
 		if o.offset <= b.ThroughOffset {
 			continue
@@ -377,11 +386,14 @@
 	return append([]model.Reason(nil), t.reasons[key]...)
 }
 
-// Prune drops jobs that have been final for keepFinal.
-func (t *Table) Prune() {
-	limit := t.now().Add(-keepFinal).UnixMilli()
+// Prune drops jobs that have been final for keepFinal, and records of jobs that
+// stayed unknown for orphanRetentions times the log's retention.
+func (t *Table) Prune(retention time.Duration) {
+	now := t.now()
+	limit := now.Add(-keepFinal).UnixMilli()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.pruneOrphans(now.Add(-orphanRetentions * retention).UnixMilli())
 	for key, e := range t.entries {
 		if e.Job.State.Final() && e.Job.EndUnixMS < limit && t.over[key] == nil {
 			delete(t.entries, key)
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -124,7 +124,9 @@
 	}
 }
 
-// skipTo resumes at the first record that retention kept.
+// skipTo resumes at the first record that retention kept. The appliers start again
+// from the snapshots that follow, so the stream counts as replayed only once its
+// present head was read.
 func (s *stream) skipTo(first int64) {
 	s.j.opts.Logger.Warn("journal: records are gone before they were read",
 		zap.String("stream", string(s.name)), zap.Int64("from", s.next), zap.Int64("first", first))
@@ -134,6 +136,10 @@
 		}
 	}
 	s.next = first
+	s.mu.Lock()
+	s.replayed = false
+	s.startHead = -1
+	s.mu.Unlock()
 }
 
 // deliver applies a record once and answers the Append that waits for it.
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -141,9 +141,12 @@
 
 // JobSnapshot repeats a live job before retention ends.
 type JobSnapshot struct {
-	Job           model.Job `json:"job"`
-	Move          int       `json:"move"`
-	ThroughOffset int64     `json:"throughOffset"`
+	Job           model.Job    `json:"job"`
+	Move          int          `json:"move"`
+	Failures      int          `json:"failures,omitempty"`
+	PlacedRecord  string       `json:"placedRecord,omitempty"`
+	PlacedBy      model.HostID `json:"placedBy,omitempty"`
+	ThroughOffset int64        `json:"throughOffset"`
 }
 
 // CallIntent is written before a non-repeatable request is sent to a target. The
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -14,7 +14,8 @@
 	defaultSample       = 0.1
 	// defaultAppends is the budget of design section D7: the log service accepts
 	// several hundred appends per second.
-	defaultAppends = 300
+	defaultAppends          = 300
+	defaultRetentionSeconds = 3600
 )
 
 var (
@@ -85,6 +86,8 @@
 	object("trace", "Where spans go.", traceFields...),
 	{Name: "logAppendsPerSecond", Doc: "Appends to the log service by the whole deployment; each host takes an equal share.",
 		Kind: jsontext.Integer, Unit: "appends per second", Bound: jsontext.Range(1, 10_000), Default: "300"},
+	{Name: "logRetentionSeconds", Doc: "How long the log service keeps records at least. Live state is appended again several times within it.",
+		Kind: jsontext.Integer, Unit: "seconds", Bound: jsontext.Range(10, 31_536_000), Default: "3600"},
 	text("bootstrapKeyHash", "SHA-256 sum of the key that may publish the first text. Without it, an operator key of that text may.", hashFormat),
 }}
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,9 @@
 	// LogAppendsPerSecond bounds the appends of the whole deployment to the log
 	// service; each host takes an equal share.
 	LogAppendsPerSecond int `json:"logAppendsPerSecond"`
+	// LogRetentionSeconds is how long the log service keeps records at least. Live
+	// state is appended again several times within it.
+	LogRetentionSeconds int `json:"logRetentionSeconds"`
 	// BootstrapKeyHash is the SHA-256 sum, in hexadecimal, of the key that may
 	// publish the first text. Without it, an operator key of that text may.
 	BootstrapKeyHash string `json:"bootstrapKeyHash"`
@@ -87,6 +90,11 @@
 // Drain returns the bound of a planned stop.
 func (s *Settings) Drain() time.Duration { return time.Duration(s.DrainSeconds) * time.Second }
 
+// Retention returns how long the log service keeps records at least.
+func (s *Settings) Retention() time.Duration {
+	return time.Duration(s.LogRetentionSeconds) * time.Second
+}
+
 // defaults returns the values of absent fields.
 func defaults() *Settings {
 	return &Settings{
@@ -94,6 +102,7 @@
 		Log:                 Log{Level: defaultLogLevel},
 		Trace:               Trace{Exporter: TraceOff, Sample: defaultSample},
 		LogAppendsPerSecond: defaultAppends,
+		LogRetentionSeconds: defaultRetentionSeconds,
 	}
 }
 
--- a/internal/shard/link.go
+++ b/internal/shard/link.go
@@ -19,7 +19,8 @@
 	client  workerlink.Worker
 	host    model.HostID
 	changed func()
-	slots   chan struct{} // bounds concurrent acquisitions of the shard
+	cancel  context.CancelFunc // ends run
+	slots   chan struct{}      // bounds concurrent acquisitions of the shard
 	now     func() time.Time
 
 	mu    sync.Mutex
@@ -33,6 +34,8 @@
 	// handedOver is set when the shard is given up: the link renews, so that
 	// operations can end, but acquires nothing any more.
 	handedOver bool
+	// leaving is set when the platform's list says so.
+	leaving bool
 	since   uint64
 	tasks   map[model.TaskID]workerlink.Task
 	// unrecorded holds the event numbers of final tasks that the journal does
@@ -234,6 +237,13 @@
 	_ = l.client.Release(cctx, workerlink.ReleaseRequest{Token: token})
 }
 
+// idle reports whether the worker cannot be reached and has no known tasks.
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.held && len(l.tasks) == 0
+}
+
 // linkView is a consistent copy of a link's state.
 type linkView struct {
 	held bool
@@ -263,7 +273,7 @@
 	switch {
 	case !l.held:
 		return model.WorkerLost
-	case l.worker.Health == model.WorkerLeaving:
+	case l.leaving:
 		return model.WorkerLeaving
 	case l.health.onProbation():
 		return model.WorkerProbation
@@ -275,10 +285,7 @@
 func (l *link) setLeaving(leaving bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.worker.Health = model.WorkerHealthy
-	if leaving {
-		l.worker.Health = model.WorkerLeaving
-	}
+	l.leaving = leaving
 }
 
 func (l *link) noteStart(ok bool) {
--- a/internal/shard/observe.go
+++ b/internal/shard/observe.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"fmt"
+
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
 )
@@ -39,9 +41,19 @@
 	o.tasks[k][t.ID.Index] = t
 }
 
-// majority reports whether this host holds more than half of the workers. Two
-// hosts that both plan a shard cannot both hold a majority.
-func (o *observation) majority() bool { return 2*o.held > len(o.views) }
+// mayDecide reports whether this host may start and end attempts. While the log
+// answers, the order of its records decides between two planners, and any worker is
+// enough: a zone that lost a rack of two goes on. Without the log only the holder of
+// more than half of the workers decides, because two hosts cannot both hold that.
+func (s *Shard) mayDecide(o *observation) (bool, string) {
+	if o.held == 0 {
+		return false, "no worker is held"
+	}
+	if s.Journal.State().Answering || 2*o.held > len(o.views) {
+		return true, ""
+	}
+	return false, fmt.Sprintf("only %d of %d workers are held and the log is down", o.held, len(o.views))
+}
 
 // gang summarises the members of one attempt.
 type gang struct {
@@ -51,7 +63,7 @@
 	// lost members are on workers that this host cannot reach, pending ones on
 	// workers that it is acquiring.
 	lost, pending int
-	detail string
+	detail        string
 }
 
 // linkGone reports whether a worker is not in the platform's list any more.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -33,8 +33,8 @@
 
 // planAllowed checks what must hold before anything may start.
 func (s *Shard) planAllowed(o *observation) (bool, string) {
-	if !o.majority() {
-		return false, fmt.Sprintf("only %d of %d workers are held", o.held, len(o.views))
+	if ok, why := s.mayDecide(o); !ok {
+		return false, why
 	}
 	return s.mayStart()
 }
--- a/internal/shard/reconcile.go
+++ b/internal/shard/reconcile.go
@@ -13,8 +13,10 @@
 // reconcile compares the jobs table with the workers' tasks and starts the
 // operations that bring them together.
 func (s *Shard) reconcile(o *observation) {
-	for _, e := range s.Jobs.Active(s.id) {
-		s.reconcileActive(o, e)
+	if ok, _ := s.mayDecide(o); ok {
+		for _, e := range s.Jobs.Active(s.id) {
+			s.reconcileActive(o, e)
+		}
 	}
 	for k, tasks := range o.tasks {
 		e := s.Jobs.Get(k.job)
@@ -33,9 +35,6 @@
 
 // reconcileActive handles an attempt that should run.
 func (s *Shard) reconcileActive(o *observation, e *jobs.Entry) {
-	if !o.majority() {
-		return
-	}
 	key := e.Job.Spec.Key
 	g := s.summarise(o, e.Job.Placement)
 	members := len(e.Job.Placement.Members)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -106,15 +106,31 @@
 func (s *Shard) setWorkers(workers []model.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	listed := map[model.WorkerID]bool{}
 	for _, w := range workers {
+		listed[w.ID] = true
 		l := s.links[w.ID]
 		if l == nil {
-			l = newLink(w, s.Dialer.Worker(w), s.Host, s.Now, s.acquire, s.trigger)
-			s.links[w.ID] = l
-			s.goRun(l.run)
+			l = s.addLink(w)
 		}
 		l.setLeaving(w.Health == model.WorkerLeaving)
 	}
+	for id, l := range s.links {
+		if !listed[id] && l.idle() {
+			l.cancel()
+			delete(s.links, id)
+		}
+	}
+}
+
+// addLink starts a link. The caller holds s.mu.
+func (s *Shard) addLink(w model.Worker) *link {
+	l := newLink(w, s.Dialer.Worker(w), s.Host, s.Now, s.acquire, s.trigger)
+	ctx, cancel := context.WithCancel(s.ctx)
+	l.cancel = cancel
+	s.links[w.ID] = l
+	s.goRun(func(context.Context) { l.run(ctx) })
+	return l
 }
 
 func (s *Shard) goRun(f func(context.Context)) {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -179,6 +179,27 @@
 	})
 }
 
+// TestHalfOfTheWorkersLost guards against a zone of two racks that stands still when
+// one of them is lost.
+func TestHalfOfTheWorkersLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 12)
+		first := w.submit("first", 3, 20*time.Second, nil)
+		time.Sleep(5 * time.Second)
+		rack := w.workers[0].Rack
+		for _, worker := range w.workers {
+			if worker.ID == w.hosts[0].table.Get(first).Job.Placement.Members[0].Worker {
+				rack = worker.Rack
+			}
+		}
+		w.emulator.SetFaults(emulator.Faults{Workers: []emulator.WorkerFault{{Rack: rack, Lost: &yes}}})
+		second := w.submit("second", 3, 5*time.Second, nil)
+		w.finish(w.hosts[0], second, 30*time.Second)
+		w.finish(w.hosts[0], first, 2*time.Minute)
+		w.clean()
+	})
+}
+
 // TestNonRepeatableJobRunsOnce guards against a non-repeatable job that is started
 // again after an attempt that may have run.
 func TestNonRepeatableJobRunsOnce(t *testing.T) {
