Copy a job to its planner during a log outage

Cause: a job accepted on two peers' copies waited for the log unless one of the holders happened to plan its home shard. Change: the acceptance is copied to the planner of the home shard in addition. Conclusion: accepted work starts during an outage.

--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -29,6 +29,8 @@
 // of hosts that hold all of them.
 type Copier interface {
 	CopyToPeers(ctx context.Context, records []journal.StreamRecord, want int) (stored int)
+	// CopyToHost stores records on one host and reports whether it did.
+	CopyToHost(ctx context.Context, host model.HostID, records []journal.StreamRecord) bool
 }
 
 // Keeper holds this host's own records until they are in the log.
@@ -44,9 +46,11 @@
 	Journal journal.Journal
 	Table   *Table
 	Copier  Copier
-	Keeper  Keeper
-	NewID   func() string
-	Now     func() time.Time
+	// Owner returns the host that plans a shard.
+	Owner  func(model.ShardID) (model.HostID, bool)
+	Keeper Keeper
+	NewID  func() string
+	Now    func() time.Time
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 	Logger    *zap.Logger
@@ -93,7 +97,7 @@
 	if rerr != nil {
 		return Accepted{}, apierror.NotRun(apierror.CodeBadInput, "job cannot be encoded: %v", rerr)
 	}
-	return s.record(ctx, spec, rec)
+	return s.record(ctx, home, spec, rec)
 }
 
 // known looks a submission up among the jobs accepted before.
@@ -156,7 +160,7 @@
 }
 
 // record makes the acceptance durable in the log or, while it is down, on peers.
-func (s *Service) record(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
+func (s *Service) record(ctx context.Context, home model.ShardID, spec model.JobSpec, rec journal.Record) (Accepted, error) {
 	if s.Journal.State().Answering {
 		_, err := s.Journal.Append(ctx, journal.StreamJobs, rec)
 		if err == nil {
@@ -164,7 +168,7 @@
 		}
 		s.Logger.Warn("jobs: append of an acceptance failed", zap.Error(err))
 	}
-	return s.acceptOnPeers(ctx, spec, rec)
+	return s.acceptOnPeers(ctx, home, spec, rec)
 }
 
 func (s *Service) acceptedAnswer(spec model.JobSpec) (Accepted, error) {
@@ -177,7 +181,7 @@
 
 // acceptOnPeers copies the acceptance to other hosts. The record may also be in
 // the log already; readers ignore the second by its id.
-func (s *Service) acceptOnPeers(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
+func (s *Service) acceptOnPeers(ctx context.Context, home model.ShardID, spec model.JobSpec, rec journal.Record) (Accepted, error) {
 	records := []journal.StreamRecord{{Stream: journal.StreamJobs, Record: rec}}
 	stored := s.Copier.CopyToPeers(ctx, records, copiesWanted)
 	if stored < copiesWanted {
@@ -186,6 +190,10 @@
 			stored, copiesWanted)
 	}
 	s.Keeper.Store(records)
+	// The planner of the home needs the job too, or it would wait for the log.
+	if owner, ok := s.Owner(home); ok && owner != s.Host {
+		s.Copier.CopyToHost(ctx, owner, records)
+	}
 	s.Table.ApplyProvisional(rec)
 	return Accepted{ID: spec.Key.ID, Durability: DurablePeers, State: model.JobWaiting}, nil
 }
--- /dev/null
+++ b/internal/membership/copyhost.go
@@ -0,0 +1,21 @@
+package membership
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/daisyfold/daisyfold/internal/journal"
+	"github.com/daisyfold/daisyfold/internal/model"
+)
+
+// CopyToHost stores records in the memory of one host and reports whether it holds
+// all of them.
+func (m *Membership) CopyToHost(ctx context.Context, host model.HostID, records []journal.StreamRecord) bool {
+	calls, err := m.copyCalls(records)
+	if err != nil {
+		m.opts.Logger.Error("records cannot be copied", zap.Error(err))
+		return false
+	}
+	return m.copyToHost(ctx, host, calls)
+}
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -103,6 +103,9 @@
 	return stored
 }
 
+// CopyToHost implements jobs.Copier.
+func (h *host) CopyToHost(context.Context, model.HostID, []journal.StreamRecord) bool { return false }
+
 // Store implements jobs.Keeper.
 func (h *host) Store(records []journal.StreamRecord) bool {
 	h.world.mu.Lock()
