Count an attempt number that two planners executed as duplicated

Change: the second start of a member of an attempt belongs to a second execution, which counts as duplicated. Figures: go test ./internal/judge ok; the new case fails without the change. Conclusion: partial counts only gangs that ran incompletely.

--- a/internal/judge/jobs.go
+++ b/internal/judge/jobs.go
@@ -23,23 +23,32 @@
 	overlapMS = 3500
 )
 
-// attempt is one attempt of a job in the ledger.
+// attempt is one execution of an attempt of a job in the ledger. Two planners that
+// both start the same attempt number show as two executions.
 type attempt struct {
 	number int
 	size   int
 	tasks  []ledger.TaskRun
 }
 
-// attempts groups the ledger's tasks by job and attempt, in order of attempts. A
-// task that still runs is taken to end now.
+// has reports whether a member of the attempt started.
+func (a *attempt) has(index int) bool {
+	return slices.ContainsFunc(a.tasks, func(t ledger.TaskRun) bool { return t.Index == index })
+}
+
+// attempts groups the ledger's tasks by job and attempt, in order of attempts. The
+// second start of the same member of the same attempt belongs to a second
+// execution. A task that still runs is taken to end now.
 func attempts(l ledger.Ledger) map[model.JobKey][]*attempt {
 	jobs := map[model.JobKey][]*attempt{}
-	for _, t := range l.Tasks {
+	tasks := slices.Clone(l.Tasks)
+	slices.SortStableFunc(tasks, func(a, b ledger.TaskRun) int { return cmp.Compare(a.StartMS, b.StartMS) })
+	for _, t := range tasks {
 		if t.EndMS == 0 {
 			t.EndMS = l.NowMS
 		}
 		list := jobs[t.Job]
-		index := slices.IndexFunc(list, func(a *attempt) bool { return a.number == t.Attempt })
+		index := slices.IndexFunc(list, func(a *attempt) bool { return a.number == t.Attempt && !a.has(t.Index) })
 		if index < 0 {
 			index = len(list)
 			list = append(list, &attempt{number: t.Attempt, size: t.GangSize})
@@ -48,11 +57,21 @@
 		jobs[t.Job] = list
 	}
 	for _, list := range jobs {
-		slices.SortFunc(list, func(a, b *attempt) int { return cmp.Compare(a.number, b.number) })
+		slices.SortStableFunc(list, func(a, b *attempt) int { return cmp.Compare(a.number, b.number) })
 	}
 	return jobs
 }
 
+// executedTwice returns the number of an attempt that was executed twice, or 0.
+func executedTwice(list []*attempt) int {
+	for i := 1; i < len(list); i++ {
+		if list[i].number == list[i-1].number {
+			return list[i].number
+		}
+	}
+	return 0
+}
+
 // members counts the different members that started.
 func (a *attempt) members() int {
 	seen := map[int]bool{}
@@ -193,6 +212,8 @@
 		v.broken(count, KindDuplicated, name, "non-repeatable, but %d attempts ran", len(list))
 	case completeAttempts(list) > 1:
 		v.broken(count, KindDuplicated, name, "%d attempts completed", completeAttempts(list))
+	case executedTwice(list) > 0:
+		v.broken(count, KindDuplicated, name, "attempt %d was executed twice", executedTwice(list))
 	case longestOverlap(list) > overlapMS:
 		v.broken(count, KindDuplicated, name, "two attempts overlapped by %d ms", longestOverlap(list))
 	}
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -54,6 +54,7 @@
 		{"failed wrongly", gang(ReplyAccepted, model.JobFailed), whole(1, 0, 1000), JobCounts{Completed: 1, Lost: 1}},
 		{"refused but ran", gang(ReplyNotRun, ""), whole(1, 0, 1000), JobCounts{Refused: 1, Duplicated: 1}},
 		{"completed twice", accepted, append(whole(1, 0, 1000), whole(2, 2000, 3000)...), JobCounts{Completed: 1, Duplicated: 1}},
+		{"one attempt number twice", accepted, append(whole(1, 0, 5000), stopped(1, 20000, 21000)...), JobCounts{Completed: 1, Duplicated: 1}},
 		{"overlap", accepted, append(stopped(1, 0, 9000), whole(2, 5000, 9000)...), JobCounts{Completed: 1, Duplicated: 1}},
 		{"short overlap", accepted, append(stopped(1, 0, 7000), whole(2, 5000, 9000)...), JobCounts{Completed: 1}},
 		{"non-repeatable twice", once, append(stopped(1, 0, 1000), whole(2, 5000, 9000)...), JobCounts{Completed: 1, Duplicated: 1}},
