--- a/internal/calls/service_test.go
+++ b/internal/calls/service_test.go
@@ -326,6 +326,25 @@
 	})
 }
 
+// TestOpenAttemptIsNotRepeated guards against a non-repeatable request that is sent
+// again after an attempt that may have run.
+func TestOpenAttemptIsNotRepeated(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		h := w.host(0)
+		for i := range 10 { // fill the retry budget
+			if _, err := h.do(string(rune('a'+i)), "once"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.faults.Store(&faults{crossed: 1})
+		_, err := h.do("r", "once")
+		expect(t, "crossed answer", err, model.OutcomeUnknown, apierror.CodeUnknownOutcome)
+		if n := h.svc.Stats().Attempts; n != 11 {
+			t.Errorf("%d attempts for 11 requests", n)
+		}
+	})
+}
+
 // TestLargeAnswerIsNotKept guards against an answer of more than 64 KB in the
 // journal, and against unknown where the request is known to have run.
 func TestLargeAnswerIsNotKept(t *testing.T) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -63,6 +63,8 @@
 	random   *rand.Rand
 	targets  map[model.TargetID]*targetState
 	services map[model.Service]*pool
+	// groups is scratch space of pick: own, other, avoided own and avoided other.
+	groups [4][]*targetState
 }
 
 // pool is the targets of one service, sorted by id so that choices repeat with the
@@ -180,7 +182,10 @@
 // pick returns a target that fits, or nil. Targets that the policy avoids come after
 // those of any zone that it does not, and within these groups the own zone is first.
 func (r *Router) pick(now time.Time, p *pool, q Query) (*targetState, Reason) {
-	var groups [4][]*targetState // own, other, avoided own, avoided other
+	groups := &r.groups
+	for i := range groups {
+		groups[i] = groups[i][:0]
+	}
 	for _, s := range p.targets {
 		if !fits(now, s, q) {
 			continue
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -157,6 +157,9 @@
 
 // good reports whether the target is neither slow nor failing.
 func (s *targetState) good(now time.Time, usual float64) bool {
+	if s.latency <= slowFactor*usual && s.success >= minGood {
+		return true // forgetting only makes both better
+	}
 	return s.latencyAt(now, usual) <= slowFactor*usual && s.successAt(now) >= minGood
 }
 
