--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -54,7 +54,11 @@
 // ConfigEdit replaces the text. It is accepted if BaseVersion is the version in
 // force at its place in the log; the new version is BaseVersion+1. Zone changes
 // are edits too: the daemon rewrites the text and publishes it.
+//
+// ID is the operator's id of the edit. A zone change that races with another edit is
+// written again with a new base and the same ID; a reader accepts an ID once.
 type ConfigEdit struct {
+	ID          string `json:"id"`
 	BaseVersion int64  `json:"baseVersion"`
 	Text        []byte `json:"text"`
 }
@@ -65,6 +69,17 @@
 	Version       int64  `json:"version"`
 	Text          []byte `json:"text"`
 	ThroughOffset int64  `json:"throughOffset"`
+	// Edits are the last accepted edits, oldest first. A reader that starts here
+	// must refuse the same repeated IDs as the others.
+	Edits []AcceptedEdit `json:"edits,omitempty"`
+}
+
+// AcceptedEdit says which edit made a version. Digest is a cut SHA-256 sum of the
+// text, in hexadecimal.
+type AcceptedEdit struct {
+	ID      string `json:"id"`
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
 }
 
 // JobAccepted is the acceptance of a job.
@@ -96,6 +111,9 @@
 	Reason   string       `json:"reason"`
 	ServedMS int64        `json:"servedMS,omitempty"`
 	Final    bool         `json:"final,omitempty"`
+	// TaskFailed is set when a task of the job failed by itself, as opposed to a
+	// lost worker or a preemption.
+	TaskFailed bool `json:"taskFailed,omitempty"`
 }
 
 // JobFinished is the end of a job whose every task finished.
@@ -159,8 +177,12 @@
 
 // State is the host's view of the log service.
 type State struct {
-	// Reachable is false while reads fail.
+	// Reachable is false while reads fail or are answered more than a second late:
+	// start evidence from such a log is always too old.
 	Reachable bool
+	// Answering is true while reads are answered, however late, so that appends
+	// make progress.
+	Answering bool
 	// LastHead is when a read of the config stream last reached its head, measured
 	// at the moment the request was sent. Zero if never.
 	LastHead time.Time
