Replace silent peer connections and let a started host settle

Cause: HTTP/2 goes on with a connection on which a call timed out; a host that just started saw itself alone and would have claimed every shard of its zone; the member table was sorted on every heartbeat. CopyStore refuses records that could never be appended.

--- a/internal/journal/copystore.go
+++ b/internal/journal/copystore.go
@@ -12,6 +12,8 @@
 	// maxCopies and maxCopyBytes bound the memory for records copied from peers.
 	maxCopies    = 10000
 	maxCopyBytes = 8 << 20
+	// maxCopyRecord refuses a record that could never be appended.
+	maxCopyRecord = MaxAppendBytes - 4<<10
 	// copyDelay lets the origin of a copied record append it first when the log
 	// returns; its own wait is at most maxResumeWait.
 	copyDelay = 2 * time.Second
@@ -47,7 +49,7 @@
 	defer c.mu.Unlock()
 	size := 0
 	for _, r := range records {
-		if c.j.lookup(r.Stream) == nil {
+		if c.j.lookup(r.Stream) == nil || len(r.Record.Body) > maxCopyRecord {
 			return false
 		}
 		size += len(r.Record.Body)
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -67,7 +67,7 @@
 	now := m.opts.Now()
 	m.mu.Lock()
 	var silent []*peerState
-	for _, p := range m.peers {
+	for _, p := range m.sortedPeers() {
 		if p.Zone != m.opts.Self.Zone && !m.alive(p, now) {
 			silent = append(silent, p)
 		}
@@ -77,7 +77,6 @@
 	if len(silent) == 0 {
 		return
 	}
-	sortPeers(silent)
 	m.calls.Go(func() { m.beat(ctx, silent[turn%len(silent)], crossTimeout) })
 }
 
@@ -231,12 +230,7 @@
 func (m *Membership) allPeers() []*peerState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]*peerState, 0, len(m.peers))
-	for _, p := range m.peers {
-		out = append(out, p)
-	}
-	sortPeers(out)
-	return out
+	return m.sortedPeers()
 }
 
 func (m *Membership) zonePeers(zone model.Zone) []*peerState {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -100,9 +100,12 @@
 
 	mu      sync.Mutex
 	peers   map[model.HostID]*peerState
+	sorted  []*peerState // peers in the order of their ids; nil when they changed
 	leaving bool
-	table   []blackboard.Member
-	turn    int
+	// startedAt is when Run was called.
+	startedAt time.Time
+	table     []blackboard.Member
+	turn      int
 }
 
 // New returns a membership that knows the peers of the settings.
@@ -122,6 +125,9 @@
 
 // Run sends heartbeats until ctx ends and waits for those in flight.
 func (m *Membership) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.startedAt = m.opts.Now()
+	m.mu.Unlock()
 	m.updateTable()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return every(ctx, zonePeriod, func() { m.beatZone(ctx) }) })
--- a/internal/membership/owner.go
+++ b/internal/membership/owner.go
@@ -7,9 +7,14 @@
 )
 
 // Owner returns the planner of a shard: the live host of its zone that is not
-// leaving with the highest rendezvous hash. It is false if there is none. Two hosts
-// may disagree for seconds; the workers' fencing tokens decide between them.
+// leaving with the highest rendezvous hash. It is false if there is none, and while
+// this host has just started: it would take every shard before it heard of the
+// others. Two hosts may disagree for seconds; the workers' fencing tokens decide
+// between them.
 func (m *Membership) Owner(shard model.ShardID) (model.HostID, bool) {
+	if !m.settled() {
+		return "", false
+	}
 	var best model.HostID
 	var bestHash uint64
 	for _, x := range m.opts.Members.List() {
@@ -24,6 +29,28 @@
 	return best, best != ""
 }
 
+// settleTime is how long a started host waits for the hosts of its zone: a lost
+// heartbeat and the next one.
+const settleTime = zonePeriod + zoneTimeout
+
+// settled reports whether every host of the zone was heard or had time to answer.
+func (m *Membership) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.startedAt.IsZero() {
+		return false
+	}
+	if m.opts.Now().Sub(m.startedAt) >= settleTime {
+		return true
+	}
+	for _, p := range m.peers {
+		if p.Zone == m.opts.Self.Zone && p.lastSeen.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // deploymentAppends is the log budget of the whole deployment, in appends per second.
 const deploymentAppends = 300
 
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,14 +93,16 @@
 // absorb stores a report. sent is when the answered request was sent, or the time
 // of arrival for a request.
 func (m *Membership) absorb(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
-	if !m.store(p, r, sent, called) {
-		return false
+	accepted, changed := m.store(p, r, sent, called)
+	if changed {
+		m.updateTable()
 	}
-	m.updateTable()
-	return true
+	return accepted
 }
 
-func (m *Membership) store(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
+// store reports whether it accepted the report and whether the member table must
+// show a change at once.
+func (m *Membership) store(p *peerState, r *peer.HostReport, sent time.Time, called bool) (accepted, changed bool) {
 	report := Report{
 		Host: p.Host, Zone: p.Zone, At: sent, AnsweredAt: sent, Called: called,
 		ConfigVersion: r.ConfigVersion, LogReachable: r.LogReachable,
@@ -117,15 +119,17 @@
 	now := m.opts.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	wasAlive, wasLeaving := m.alive(p, now), p.leaving
 	if !m.accepts(p, r.Incarnation, now) {
-		return false
+		return false, false
 	}
 	p.leaving = p.leaving || r.Leaving // a process never stops leaving
 	p.lastSeen = later(p.lastSeen, sent)
+	changed = !wasAlive || p.leaving != wasLeaving
 	p.wantAddress = p.wantAddress || r.WantAddress
 	if called {
 		p.calledAt = now
-		return true
+		return true, changed
 	}
 	p.answeredAt = now
 	if sent.After(p.report.AnsweredAt) {
@@ -135,7 +139,7 @@
 		report.LogAt = later(report.LogAt, p.report.LogAt)
 		p.report = report
 	}
-	return true
+	return true, changed
 }
 
 // absorbContacts stores what a host of the own zone shared. The contacts' ages are
@@ -194,6 +198,18 @@
 	return out
 }
 
+// sortedPeers returns the peers in the order of their ids. The lock must be held and
+// the slice must not be changed.
+func (m *Membership) sortedPeers() []*peerState {
+	if m.sorted == nil {
+		for _, p := range m.peers {
+			m.sorted = append(m.sorted, p)
+		}
+		sortPeers(m.sorted)
+	}
+	return m.sorted
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -210,6 +226,7 @@
 		Host: model.HostID(r.Host), Zone: model.Zone(r.Zone), Address: r.Address,
 	}}
 	m.peers[p.Host] = p
+	m.sorted = nil
 	m.opts.Logger.Info("membership: learned a host from its heartbeat",
 		zap.String("host", r.Host), zap.String("zone", r.Zone))
 	return p
@@ -224,9 +241,10 @@
 	all := []blackboard.Member{{
 		Host: m.opts.Self.Host, Zone: m.opts.Self.Zone, Alive: true, Leaving: m.leaving,
 	}}
-	for id, p := range m.peers {
+	for _, p := range m.sortedPeers() {
 		if p.learned && now.Sub(p.lastSeen) > forgetLearned {
-			delete(m.peers, id)
+			delete(m.peers, p.Host)
+			m.sorted = nil
 			continue
 		}
 		all = append(all, blackboard.Member{
@@ -234,7 +252,8 @@
 			Leaving: p.leaving || p.listLeaving,
 		})
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Host < all[j].Host })
+	// The peers are in order, so this only moves the host itself to its place.
+	slices.SortFunc(all, func(a, b blackboard.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	if slices.Equal(all, m.table) {
 		return
 	}
--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/rpc/peer"
@@ -12,6 +14,9 @@
 
 const (
 	dialTimeout = time.Second
+	// idleTimeout is longer than the time between two calls to a host of a large
+	// zone, so that connections are kept.
+	idleTimeout = time.Minute
 	// maxAnswerBytes bounds a peer's answer; a configuration text is the largest.
 	maxAnswerBytes = 1 << 20
 )
@@ -22,33 +27,73 @@
 	return DialHTTPOver(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // DialHTTPOver is DialHTTP over connections that dial opens.
-func DialHTTPOver(address string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) peer.Peer {
+func DialHTTPOver(address string, dial Dial) peer.Peer {
+	t := &freshTransport{dial: dial, current: newTransport(dial)}
+	return peer.NewPeerProtobufClient(address, &http.Client{Transport: t})
+}
+
+func newTransport(dial Dial) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	t := &http.Transport{
-		DialContext: dial, Protocols: protocols, DisableCompression: true,
+	return &http.Transport{
+		DialContext: dial, Protocols: protocols, DisableCompression: true, IdleConnTimeout: idleTimeout,
 	}
-	return peer.NewPeerProtobufClient(address, &http.Client{Transport: &freshTransport{t}})
 }
 
-// freshTransport closes the peer's connection after a failed call. HTTP/2 would
-// reuse a silent connection while new ones work. Each peer has its own transport.
-type freshTransport struct{ *http.Transport }
+// freshTransport never uses a connection again on which a call failed: HTTP/2 would
+// go on with a silent connection while new ones work. Each peer has its own.
+type freshTransport struct {
+	dial Dial
+
+	mu      sync.Mutex
+	current *http.Transport
+}
 
 // RoundTrip implements http.RoundTripper.
-func (t *freshTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+func (f *freshTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	req.Header.Set("User-Agent", "")
-	resp, err := t.Transport.RoundTrip(req)
+	f.mu.Lock()
+	t := f.current
+	f.mu.Unlock()
+	resp, err := t.RoundTrip(req)
 	if err != nil {
-		t.CloseIdleConnections()
+		f.replace(t)
 		return nil, err
 	}
-	resp.Body = &boundedBody{io.LimitReader(resp.Body, maxAnswerBytes), resp.Body}
+	resp.Body = &answerBody{
+		Reader: io.LimitReader(resp.Body, maxAnswerBytes), Closer: resp.Body,
+		failed: func() { f.replace(t) },
+	}
 	return resp, nil
 }
 
-type boundedBody struct {
+// replace retires a transport. Its connection closes when its other calls end and
+// it has been idle.
+func (f *freshTransport) replace(t *http.Transport) {
+	f.mu.Lock()
+	if f.current == t {
+		f.current = newTransport(f.dial)
+	}
+	f.mu.Unlock()
+	t.CloseIdleConnections()
+}
+
+// answerBody is a bounded body that reports a failed read.
+type answerBody struct {
 	io.Reader
 	io.Closer
+	failed func()
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed()
+	}
+	return n, err
 }
