Relay appends through peers and keep outage records in order

Copies were appended in random order, so an end could be read before its placement. A zone cut off from the platform decided without the log although its peers could read it, so another zone could take its jobs meanwhile. Change: a host that cannot reach the log appends through a peer that can, and the peer says whether the placement counts; placements of a real outage are marked, count after a move, and may stand out of order; own records are queued in order; no job moves for 10 s after an outage; a lost placement pauses the job for 5 s. Conclusion: decisions are taken without the log only when nobody in contact has it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,7 @@
 	d.table = jobs.NewTable(d.Now)
 	d.jobs = jobs.NewService(jobs.Options{
 		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Journal: d.journal,
-		Table: d.table, Copier: d.members, Keeper: d.journal.Copies(), Owner: d.members.Owner,
+		Table: d.table, Copier: d.members, Keeper: d.journal, Relay: d.members, Owner: d.members.Owner,
 		NewID: d.NewID, Now: d.Now, Retention: d.Settings.Retention(), Logger: d.part("jobs"),
 	})
 	d.journal.Register(journal.StreamJobs, d.table)
@@ -125,7 +125,7 @@
 func (d *Daemon) buildShards() {
 	d.shards = shard.NewManager(shard.Options{
 		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Jobs: d.table,
-		Journal: d.journal, Copier: d.members, Keeper: d.journal.Copies(),
+		Journal: d.journal, Copier: d.members, Keeper: d.journal, Relay: d.members,
 		Dialer: d.Outside.Workers, Evidence: d.checker, Owner: d.members.Owner,
 		Guarantees: guaranteesOf, Blocked: d.blockedServices, History: &queue.History{},
 		Pool: d.pool, Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -13,6 +13,7 @@
 	"github.com/daisyfold/daisyfold/internal/apiserver"
 	"github.com/daisyfold/daisyfold/internal/auth"
 	"github.com/daisyfold/daisyfold/internal/blackboard"
+	"github.com/daisyfold/daisyfold/internal/jobs"
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/metrics"
 	"github.com/daisyfold/daisyfold/internal/peerserver"
@@ -74,11 +75,19 @@
 
 func (d *Daemon) peerServer() *http.Server {
 	srv := &peerserver.Server{
-		Members: d.members, Configs: d.sync, Copies: copies{d}, Outcomes: outcomes{d.calls},
+		Members: d.members, Configs: d.sync, Copies: copies{d}, Outcomes: outcomes{d.calls}, Relay: relay{d.jobs},
 	}
 	return peerserver.NewHTTPServer(tracing.Middleware("peer", peerserver.Handler(srv)))
 }
 
+// relay appends records for peers.
+type relay struct{ jobs *jobs.Service }
+
+// Relay implements peerserver.Relay.
+func (r relay) Relay(ctx context.Context, rec journal.StreamRecord) (recorded, won bool) {
+	return r.jobs.RelayFor(ctx, rec)
+}
+
 // copies stores records for peers and lets this host act on them at once.
 type copies struct{ d *Daemon }
 
--- a/internal/jobs/fold.go
+++ b/internal/jobs/fold.go
@@ -90,6 +90,29 @@
 	}
 }
 
+// early reports whether r, which is not valid after e, may become valid once records
+// that stand later in the log were read. Copies of records from an outage reach the
+// log in any order.
+func early(e *Entry, r journal.Record) bool {
+	if e.Job.State.Final() {
+		return false
+	}
+	switch r.Kind {
+	case journal.KindJobPlaced:
+		var b journal.JobPlaced
+		err := json.Unmarshal(r.Body, &b)
+		return err == nil && b.Outage && b.Placement.Attempt > e.Job.Attempt
+	case journal.KindJobRunning, journal.KindJobWithdrawn, journal.KindJobFinished:
+		var b struct {
+			Attempt int `json:"attempt"`
+		}
+		err := json.Unmarshal(r.Body, &b)
+		return err == nil && b.Attempt > e.Job.Attempt
+	default:
+		return false
+	}
+}
+
 func nextAccepted(e *Entry, r journal.Record) (*Entry, bool) {
 	var b journal.JobAccepted
 	if e != nil || json.Unmarshal(r.Body, &b) != nil {
@@ -110,11 +133,12 @@
 	}
 	p := b.Placement
 	valid := e.Job.State == model.JobWaiting && p.Attempt == e.Job.Attempt+1 &&
-		p.Shard == e.Job.Home && len(p.Members) == e.Job.Spec.Tasks
+		(p.Shard == e.Job.Home || b.Outage) && len(p.Members) == e.Job.Spec.Tasks
 	if !valid {
 		return e, false
 	}
 	n := *e
+	n.Job.Home = p.Shard
 	n.Job.State = model.JobStarting
 	n.Job.Attempt = p.Attempt
 	n.Job.Placement = &p
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -33,9 +33,16 @@
 	CopyToHost(ctx context.Context, host model.HostID, records []journal.StreamRecord) bool
 }
 
-// Keeper holds this host's own records until they are in the log.
+// Keeper appends this host's own records in order once the log returns.
 type Keeper interface {
-	Store(records []journal.StreamRecord) bool
+	AppendLater(records []journal.StreamRecord) bool
+}
+
+// Relay appends records through peers that reach the log although this host does
+// not.
+type Relay interface {
+	HasRelay() bool
+	Relay(ctx context.Context, r journal.StreamRecord) (won bool, err error)
 }
 
 // Options configure a Service.
@@ -49,6 +56,7 @@
 	// Owner returns the host that plans a shard.
 	Owner  func(model.ShardID) (model.HostID, bool)
 	Keeper Keeper
+	Relay  Relay
 	NewID  func() string
 	Now    func() time.Time
 	// Retention is how long the log keeps records.
@@ -168,9 +176,27 @@
 		}
 		s.Logger.Warn("jobs: append of an acceptance failed", zap.Error(err))
 	}
+	if s.Relay.HasRelay() {
+		return s.acceptByRelay(ctx, spec, rec)
+	}
 	return s.acceptOnPeers(ctx, home, spec, rec)
 }
 
+// acceptByRelay appends the acceptance through a peer.
+func (s *Service) acceptByRelay(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
+	won, err := s.Relay.Relay(ctx, journal.StreamRecord{Stream: journal.StreamJobs, Record: rec})
+	if err != nil {
+		return Accepted{}, apierror.Unknown(apierror.CodeLogUnavailable,
+			"the job may be accepted later: %v; repeat with the same id", err)
+	}
+	if !won {
+		return Accepted{}, apierror.NotRun(apierror.CodeIDReused,
+			"job %s was submitted before with other content", spec.Key)
+	}
+	s.Table.ApplyProvisional(rec)
+	return Accepted{ID: spec.Key.ID, Durability: DurableLog, State: model.JobWaiting}, nil
+}
+
 func (s *Service) acceptedAnswer(spec model.JobSpec) (Accepted, error) {
 	a, known, err := s.known(spec)
 	if !known {
@@ -189,7 +215,7 @@
 			"the log is unavailable and only %d of %d copies were stored; repeat with the same id",
 			stored, copiesWanted)
 	}
-	s.Keeper.Store(records)
+	s.Keeper.AppendLater(records)
 	// The planner of the home needs the job too, or it would wait for the log.
 	if owner, ok := s.Owner(home); ok && owner != s.Host {
 		s.Copier.CopyToHost(ctx, owner, records)
@@ -212,13 +238,38 @@
 	if err != nil {
 		return model.Job{}, apierror.NotRun(apierror.CodeInternal, "cancellation cannot be encoded: %v", err)
 	}
-	if _, err := s.Journal.Append(ctx, journal.StreamJobs, rec); err != nil {
+	if err := s.append(ctx, rec); err != nil {
 		return model.Job{}, apierror.Unknown(apierror.CodeLogUnavailable,
 			"the cancellation is not recorded yet: %v", err)
 	}
 	return s.Table.Get(key).Job, nil
 }
 
+// append writes a record to the log, through a peer if this host cannot reach it.
+func (s *Service) append(ctx context.Context, rec journal.Record) error {
+	if s.Journal.State().Answering || !s.Relay.HasRelay() {
+		_, err := s.Journal.Append(ctx, journal.StreamJobs, rec)
+		return err
+	}
+	_, err := s.Relay.Relay(ctx, journal.StreamRecord{Stream: journal.StreamJobs, Record: rec})
+	if err == nil {
+		s.Table.ApplyProvisional(rec)
+	}
+	return err
+}
+
+// RelayFor appends a record for a peer. won tells whether the record is the decision
+// that counts for its job.
+func (s *Service) RelayFor(ctx context.Context, r journal.StreamRecord) (recorded, won bool) {
+	if !s.Journal.State().Answering {
+		return false, false
+	}
+	if _, err := s.Journal.Append(ctx, r.Stream, r.Record); err != nil {
+		return false, false
+	}
+	return true, s.Table.counts(r.Record)
+}
+
 // Get returns a job.
 func (s *Service) Get(key model.JobKey) (model.Job, bool) {
 	e := s.Table.Get(key)
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -92,13 +92,40 @@
 		return
 	}
 	n, ok := next(cur, r)
-	if ok {
+	switch {
+	case ok:
 		t.store(key, n)
+		t.applyEarly(key)
+	case cur != nil && early(cur, r):
+		t.keepOrphan(key, offset, r)
 	}
 }
 
-// keepOrphan keeps a record of a job that is not known yet: its acceptance is
-// older than the log's retention and its snapshot follows.
+// applyEarly applies kept records of a job that have become valid, in log order.
+func (t *Table) applyEarly(key model.JobKey) {
+	for applied := true; applied && len(t.orphans[key]) > 0; {
+		applied = false
+		var rest []orphan
+		for _, o := range t.orphans[key] {
+			e := t.entries[key]
+			if n, ok := next(e, o.rec); ok {
+				t.store(key, n)
+				applied = true
+			} else if early(e, o.rec) {
+				rest = append(rest, o)
+			}
+		}
+		t.nOrphan -= len(t.orphans[key]) - len(rest)
+		t.orphans[key] = rest
+	}
+	if len(t.orphans[key]) == 0 {
+		delete(t.orphans, key)
+	}
+}
+
+// keepOrphan keeps a record that is not valid yet: the job's acceptance is older than
+// the log's retention and its snapshot follows, or records of an outage reached the
+// log out of order.
 func (t *Table) keepOrphan(key model.JobKey, offset int64, r journal.Record) {
 	if t.nOrphan >= maxOrphans {
 		return
@@ -440,3 +467,28 @@
 	}
 	return out
 }
+
+// counts reports whether a logged record is the one that decided about its job: the
+// placement of the current attempt, or the acceptance of the job as it stands.
+// Records of other kinds only state facts.
+func (t *Table) counts(r journal.Record) bool {
+	key, ok := keyOf(r)
+	if !ok {
+		return false
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.entries[key]
+	if e == nil {
+		return false
+	}
+	switch r.Kind {
+	case journal.KindJobPlaced:
+		return e.PlacedRecord == r.ID
+	case journal.KindJobAccepted:
+		var b journal.JobAccepted
+		return json.Unmarshal(r.Body, &b) == nil && Digest(b.Spec) == e.Digest
+	default:
+		return true
+	}
+}
--- a/internal/journal/copystore.go
+++ b/internal/journal/copystore.go
@@ -33,14 +33,15 @@
 type CopyStore struct {
 	j *LogJournal
 
-	mu      sync.Mutex
-	records map[Stream]map[string]Record
-	count   int
-	bytes   int
+	mu    sync.Mutex
+	held  map[Stream]map[string]struct{}
+	order []StreamRecord // in order of arrival
+	count int
+	bytes int
 }
 
 func newCopyStore(j *LogJournal) *CopyStore {
-	return &CopyStore{j: j, records: make(map[Stream]map[string]Record)}
+	return &CopyStore{j: j, held: make(map[Stream]map[string]struct{})}
 }
 
 // Store holds all records or none and reports whether it holds them.
@@ -64,28 +65,36 @@
 }
 
 func (c *CopyStore) add(r StreamRecord) {
-	byID := c.records[r.Stream]
+	byID := c.held[r.Stream]
 	if byID == nil {
-		byID = make(map[string]Record)
-		c.records[r.Stream] = byID
+		byID = make(map[string]struct{})
+		c.held[r.Stream] = byID
 	}
 	if _, ok := byID[r.Record.ID]; ok {
 		return
 	}
-	byID[r.Record.ID] = r.Record
+	byID[r.Record.ID] = struct{}{}
+	c.order = append(c.order, r)
 	c.count++
 	c.bytes += len(r.Record.Body)
 }
 
-func (c *CopyStore) remove(r StreamRecord) {
+// dropSeen forgets the records that the log holds.
+func (c *CopyStore) dropSeen() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.records[r.Stream][r.Record.ID]; !ok {
-		return
+	kept := c.order[:0]
+	for _, r := range c.order {
+		if _, seen := c.j.Seen(r.Stream, r.Record.ID); !seen {
+			kept = append(kept, r)
+			continue
+		}
+		delete(c.held[r.Stream], r.Record.ID)
+		c.count--
+		c.bytes -= len(r.Record.Body)
 	}
-	delete(c.records[r.Stream], r.Record.ID)
-	c.count--
-	c.bytes -= len(r.Record.Body)
+	clear(c.order[len(kept):])
+	c.order = kept
 }
 
 // Len returns the number of records held.
@@ -98,47 +107,39 @@
 func (c *CopyStore) list() []StreamRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]StreamRecord, 0, c.count)
-	for s, byID := range c.records {
-		for _, r := range byID {
-			out = append(out, StreamRecord{Stream: s, Record: r})
-		}
-	}
-	return out
+	return append([]StreamRecord(nil), c.order...)
 }
 
 func (c *CopyStore) run(ctx context.Context) {
 	for sleep(ctx, copyCheckPeriod) {
-		if c.Len() == 0 || !c.j.State().Reachable {
+		if c.Len() == 0 || !c.j.State().Answering {
 			continue
 		}
 		if !sleep(ctx, copyDelay) {
 			return
 		}
+		c.dropSeen()
 		c.appendMissing(ctx)
 	}
 }
 
-// appendMissing appends in parallel, so that the records share batches.
+// appendMissing appends in the order of arrival, which keeps the records of one job
+// in order, and waits until the log holds them.
 func (c *CopyStore) appendMissing(ctx context.Context) {
+	records := c.list()
+	if len(records) == 0 {
+		return
+	}
+	if !c.j.AppendLater(records) {
+		c.j.opts.Logger.Warn("copied records cannot be queued")
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, copyAppendTimeout)
 	defer cancel()
-	var wg sync.WaitGroup
-	for _, r := range c.list() {
-		if _, ok := c.j.Seen(r.Stream, r.Record.ID); ok {
-			c.remove(r)
-			continue
-		}
-		wg.Go(func() { c.appendOne(ctx, r) })
-	}
-	wg.Wait()
-}
-
-func (c *CopyStore) appendOne(ctx context.Context, r StreamRecord) {
-	if _, err := c.j.Append(ctx, r.Stream, r.Record); err != nil {
-		c.j.opts.Logger.Debug("journal: copied record is not appended yet",
-			zap.String("record", r.Record.ID), zap.Error(err))
+	last := records[len(records)-1]
+	if _, err := c.j.Append(ctx, last.Stream, last.Record); err != nil {
+		c.j.opts.Logger.Debug("copied records are not appended yet", zap.Error(err))
 		return
 	}
-	c.remove(r)
+	c.dropSeen()
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -93,6 +93,21 @@
 	j.snapshotters = append(j.snapshotters, s)
 }
 
+// AppendLater queues records in order without waiting, for records that took effect
+// during an outage of the log. It reports whether all were queued.
+func (j *LogJournal) AppendLater(records []StreamRecord) bool {
+	for _, r := range records {
+		s := j.lookup(r.Stream)
+		if s == nil {
+			return false
+		}
+		if _, err := s.enqueue(r.Record); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Copies returns the store of records copied from peers.
 func (j *LogJournal) Copies() *CopyStore { return j.copies }
 
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -94,6 +94,10 @@
 // Placement.Shard is the job's home.
 type JobPlaced struct {
 	Placement model.Placement `json:"placement"`
+	// Outage is set when the decision was taken while the log was down for
+	// everyone in contact. It counts although the job was moved since, because its
+	// tasks may have run, and it may stand in the log after its successors.
+	Outage bool `json:"outage,omitempty"`
 }
 
 // JobRunning says that every member of an attempt started.
--- a/internal/peerserver/server.go
+++ b/internal/peerserver/server.go
@@ -40,6 +40,12 @@
 	Store([]journal.StreamRecord) bool
 }
 
+// Relay appends records for hosts that cannot reach the log.
+type Relay interface {
+	// Relay returns whether the record is in the log and whether it counts.
+	Relay(ctx context.Context, r journal.StreamRecord) (recorded, won bool)
+}
+
 // CallOutcome is what this host knows of a request. Outcome is ran, not_run,
 // unknown or in_progress.
 type CallOutcome struct {
@@ -59,6 +65,7 @@
 	Configs  Configs
 	Copies   Copies
 	Outcomes Outcomes
+	Relay    Relay
 }
 
 var _ peer.Peer = (*Server)(nil)
@@ -80,15 +87,33 @@
 func (s *Server) CopyRecords(_ context.Context, r *peer.CopyRecordsRequest) (*peer.CopyRecordsAnswer, error) {
 	records := make([]journal.StreamRecord, 0, len(r.Records))
 	for _, x := range r.Records {
-		var rec journal.Record
-		if err := json.Unmarshal(x.Data, &rec); err != nil || rec.ID == "" {
-			return nil, twirp.InvalidArgumentError("records", "a record is not readable")
+		rec, err := readRecord(x)
+		if err != nil {
+			return nil, err
 		}
-		records = append(records, journal.StreamRecord{Stream: journal.Stream(x.Stream), Record: rec})
+		records = append(records, rec)
 	}
 	return &peer.CopyRecordsAnswer{Stored: s.Copies.Store(records)}, nil
 }
 
+func readRecord(x *peer.StreamRecord) (journal.StreamRecord, error) {
+	var rec journal.Record
+	if err := json.Unmarshal(x.Data, &rec); err != nil || rec.ID == "" {
+		return journal.StreamRecord{}, twirp.InvalidArgumentError("records", "a record is not readable")
+	}
+	return journal.StreamRecord{Stream: journal.Stream(x.Stream), Record: rec}, nil
+}
+
+// RelayRecord implements peer.Peer.
+func (s *Server) RelayRecord(ctx context.Context, r *peer.StreamRecord) (*peer.RelayRecordAnswer, error) {
+	rec, err := readRecord(r)
+	if err != nil {
+		return nil, err
+	}
+	recorded, won := s.Relay.Relay(ctx, rec)
+	return &peer.RelayRecordAnswer{Recorded: recorded, Won: won}, nil
+}
+
 // CallOutcome implements peer.Peer.
 func (s *Server) CallOutcome(_ context.Context, r *peer.CallOutcomeRequest) (*peer.CallOutcomeAnswer, error) {
 	if s.Outcomes == nil {
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -147,34 +148,70 @@
 	return stopResult{servedMS: max(served, 0), finished: finished, failed: failed}
 }
 
-// write makes a record durable and visible in the local table: in the log, or on
-// another host while the log is down.
+// errLost reports that another decision about the job counts.
+var errLost = errors.New("another record about the job counts")
+
+// write makes a record durable and visible in the local table: in the log, through a
+// peer that reaches the log, or on another host while the log is down for all.
 func (s *Shard) write(ctx context.Context, kind journal.Kind, id string, body any) error {
 	rec, err := journal.NewRecord(kind, s.Host, id, s.Now(), body)
 	if err != nil {
 		return err
 	}
-	if s.Journal.State().Answering {
+	switch {
+	case s.Journal.State().Answering:
 		cctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
-		if _, err = s.Journal.Append(cctx, journal.StreamJobs, rec); err == nil {
-			return nil
-		}
+		_, err = s.Journal.Append(cctx, journal.StreamJobs, rec)
+		return err
+	case s.Relay.HasRelay():
+		return s.writeByRelay(ctx, rec)
+	default:
+		return s.writeToPeers(ctx, rec)
+	}
+}
+
+// writeByRelay appends through a peer. The log decides as usual, so a zone that is
+// cut off from the platform never acts against a decision that others read there.
+func (s *Shard) writeByRelay(ctx context.Context, rec journal.Record) error {
+	won, err := s.Relay.Relay(ctx, journal.StreamRecord{Stream: journal.StreamJobs, Record: rec})
+	if err != nil {
+		return err
 	}
-	return s.writeToPeers(ctx, rec)
+	if !won {
+		return errLost
+	}
+	s.Jobs.ApplyProvisional(rec)
+	return nil
 }
 
 // writeToPeers keeps a record on one other host during a log outage. Without any
 // other host the record is kept here only: the workers still hold the tasks' state.
 func (s *Shard) writeToPeers(ctx context.Context, rec journal.Record) error {
-	if s.Journal.State().Answering {
-		return errors.New("the append was not answered in time")
+	rec = markOutage(rec)
+	if !s.Jobs.ApplyProvisional(rec) {
+		return errLost
 	}
 	records := []journal.StreamRecord{{Stream: journal.StreamJobs, Record: rec}}
+	s.Keeper.AppendLater(records)
 	s.Copier.CopyToPeers(ctx, records, 1)
-	s.Keeper.Store(records)
-	if !s.Jobs.ApplyProvisional(rec) {
-		return errors.New("the record is not valid")
-	}
 	return nil
 }
+
+// markOutage marks a placement as decided without the log.
+func markOutage(rec journal.Record) journal.Record {
+	if rec.Kind != journal.KindJobPlaced {
+		return rec
+	}
+	var b journal.JobPlaced
+	if json.Unmarshal(rec.Body, &b) != nil {
+		return rec
+	}
+	b.Outage = true
+	body, err := json.Marshal(b)
+	if err != nil {
+		return rec
+	}
+	rec.Body = body
+	return rec
+}
--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -106,8 +106,14 @@
 // CopyToHost implements jobs.Copier.
 func (h *host) CopyToHost(context.Context, model.HostID, []journal.StreamRecord) bool { return false }
 
-// Store implements jobs.Keeper.
-func (h *host) Store(records []journal.StreamRecord) bool {
+// HasRelay implements jobs.Relay.
+func (h *host) HasRelay() bool { return false }
+
+// Relay implements jobs.Relay.
+func (h *host) Relay(context.Context, journal.StreamRecord) (bool, error) { return false, errDead }
+
+// AppendLater implements jobs.Keeper.
+func (h *host) AppendLater(records []journal.StreamRecord) bool {
 	h.world.mu.Lock()
 	defer h.world.mu.Unlock()
 	h.world.kept = append(h.world.kept, records...)
@@ -204,7 +210,7 @@
 	h.setZone(1, true)
 	pool := controller.NewPool(2)
 	h.mgr = NewManager(Options{
-		Host: id, Zone: testZone, Board: h.board, Jobs: h.table, Journal: h, Copier: h, Keeper: h,
+		Host: id, Zone: testZone, Board: h.board, Jobs: h.table, Journal: h, Copier: h, Keeper: h, Relay: h,
 		Dialer: workerlink.NewWithTransport(h), Evidence: h, Owner: w.ownerOf,
 		Guarantees: func(*blackboard.Configuration, model.ShardID) []model.Guarantee { return nil },
 		Blocked:    func() map[model.Service]model.Service { return nil },
--- a/internal/shard/limits.go
+++ b/internal/shard/limits.go
@@ -56,6 +56,12 @@
 	planDelay = 10 * time.Millisecond
 	// planInterval is the longest time between two plans.
 	planInterval = 500 * time.Millisecond
+	// refusedPause is how long a job is left alone after its placement lost. This
+	// host's view of the job is stale then, usually because it cannot read the log.
+	refusedPause = 5 * time.Second
+	// moveGrace is how long no job is taken over after the log answered again:
+	// decisions taken without it are appended first.
+	moveGrace = 10 * time.Second
 	// orphanAge is how long tasks of an unknown job are left alone.
 	orphanAge = 10 * time.Second
 )
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -63,12 +63,12 @@
 func (s *Shard) candidates(ops map[model.JobKey]opKind) ([]*model.Job, map[model.JobKey]*jobs.Entry) {
 	var waiting []*model.Job
 	for _, e := range s.Jobs.Waiting(s.id) {
-		if _, busy := ops[e.Job.Spec.Key]; !busy {
+		if _, busy := ops[e.Job.Spec.Key]; !busy && !s.isRefused(e.Job.Spec.Key) {
 			waiting = append(waiting, &e.Job)
 		}
 	}
 	foreign := map[model.JobKey]*jobs.Entry{}
-	if !s.Journal.State().Answering {
+	if !s.movesAllowed() {
 		return waiting, foreign
 	}
 	for _, e := range s.Jobs.WaitingElsewhere(s.id, maxForeign) {
@@ -81,6 +81,35 @@
 	return waiting, foreign
 }
 
+// movesAllowed reports whether the log has answered for moveGrace.
+func (s *Shard) movesAllowed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	if !s.Journal.State().Answering {
+		s.outageEnd = now
+	}
+	return s.outageEnd.IsZero() || now.Sub(s.outageEnd) > moveGrace
+}
+
+// refuse leaves a job alone for a while after its placement lost.
+func (s *Shard) refuse(job model.JobKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[job] = s.Now().Add(refusedPause)
+}
+
+func (s *Shard) isRefused(job model.JobKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.refused[job]
+	if ok && s.Now().After(until) {
+		delete(s.refused, job)
+		return false
+	}
+	return ok
+}
+
 // mayTake reports whether a job of another shard may move here: it is allowed in
 // this zone, and its home is out of service or has let it wait.
 func (s *Shard) mayTake(e *jobs.Entry) bool {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -31,6 +31,7 @@
 	Journal  journal.Journal
 	Copier   jobs.Copier
 	Keeper   jobs.Keeper
+	Relay    jobs.Relay
 	Dialer   workerlink.Dialer
 	Evidence Evidence
 	// Owner returns the host that should plan a shard, as membership sees it.
@@ -74,7 +75,11 @@
 	ops     map[model.JobKey]opKind
 	orphans map[attemptKey]time.Time // since when tasks of unknown jobs are seen
 	lastWhy string
-	queued  bool
+	// refused holds jobs whose placement lost, until when they are left alone.
+	refused map[model.JobKey]time.Time
+	// outageEnd is when the log was last seen not to answer.
+	outageEnd time.Time
+	queued    bool
 	// draining is set when no new operation may begin.
 	draining bool
 	opsDone  sync.WaitGroup
@@ -93,6 +98,7 @@
 		links:   map[model.WorkerID]*link{},
 		ops:     map[model.JobKey]opKind{},
 		orphans: map[attemptKey]time.Time{},
+		refused: map[model.JobKey]time.Time{},
 	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.handle = o.Pool.Register("shard "+p.ID.String(), planInterval, s.pass)
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -49,6 +49,7 @@
 	id := s.NewID()
 	if err := s.write(ctx, journal.KindJobPlaced, id, journal.JobPlaced{Placement: *p}); err != nil {
 		s.log("placement not recorded", p, err)
+		s.refuse(p.Job)
 		return false
 	}
 	e := s.Jobs.Get(p.Job)
