Probe a bad worker after a pause that grows

Change: a worker on probation rests for 5 s, doubled after each failed probe up to 60 s. TestProbation guards the pauses.

--- a/internal/shard/link.go
+++ b/internal/shard/link.go
@@ -271,7 +271,7 @@
 
 func (l *link) healthLocked() model.WorkerHealth {
 	switch {
-	case !l.held:
+	case !l.held, l.health.resting(l.now()):
 		return model.WorkerLost
 	case l.leaving:
 		return model.WorkerLeaving
@@ -291,7 +291,7 @@
 func (l *link) noteStart(ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health.note(ok)
+	l.health.note(ok, l.now())
 }
 
 // unsent reports whether a call certainly did not reach the worker, as when its
