--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -23,7 +23,7 @@
 	// requestTimeout is what a caller asks for, attemptTimeout how long it waits.
 	requestTimeout = 4 * time.Second
 	attemptTimeout = 6 * time.Second
-	// callerTries bounds the entry hosts that a caller tries.
+	// callerTries is how many entry hosts a caller tries.
 	callerTries = 8
 	retryPause  = 150 * time.Millisecond
 	waitSeconds = 5
@@ -42,6 +42,7 @@
 // callers send the workload to the entry hosts.
 type callers struct {
 	hosts     []string // host:port of the APIs
+	tries     int      // entry hosts that a caller tries
 	transport *http.Client
 }
 
@@ -52,7 +53,7 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     time.Minute,
 	}
-	list := &callers{transport: &http.Client{Transport: transport}}
+	list := &callers{tries: callerTries, transport: &http.Client{Transport: transport}}
 	for _, h := range c.hosts {
 		list.hosts = append(list.hosts, h.api)
 	}
@@ -80,7 +81,7 @@
 // matter.
 func (c *callers) try(ctx context.Context, k key, attempt func(ctx context.Context, client *api.Client) verdict) {
 	first := rand.IntN(len(c.hosts))
-	for i := range callerTries {
+	for i := range c.tries {
 		one, cancel := context.WithTimeout(ctx, attemptTimeout)
 		result := attempt(one, c.client(c.hosts[(first+i)%len(c.hosts)], k))
 		cancel()
--- a/internal/load/commands.go
+++ b/internal/load/commands.go
@@ -39,6 +39,7 @@
 		"targets":     cmdTargets,
 		"submit":      cmdSubmit,
 		"requests":    cmdRequests,
+		"service":     cmdService,
 		"zone":        cmdZone,
 		"race":        cmdRace,
 		"await":       cmdAwait,
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -44,6 +44,8 @@
 	work    sync.WaitGroup
 	batches int
 	changes int // zone changes so far
+	// level is the share of answered requests before the fault, 0 if not measured.
+	level float64
 }
 
 // scenarioKey is the key of the scenario among a script's values.
