--- a/cmd/daisyfold-load/main.go
+++ b/cmd/daisyfold-load/main.go
@@ -44,13 +44,14 @@
 
 type scenariosCommand struct {
 	common
-	Name string `long:"name" description:"run only this scenario"`
-	Dir  string `long:"dir" default:"test/scenarios" description:"directory of the scripts"`
+	Name     string `long:"name" description:"run only this scenario"`
+	Dir      string `long:"dir" default:"test/scenarios" description:"directory of the scripts"`
+	Parallel int    `long:"parallel" default:"2" description:"scenarios that run at once"`
 }
 
 // Execute implements flags.Commander.
 func (c *scenariosCommand) Execute([]string) error {
-	options := load.ScenarioOptions{Options: c.options(), Dir: c.Dir, Name: c.Name}
+	options := load.ScenarioOptions{Options: c.options(), Dir: c.Dir, Name: c.Name, Parallel: c.Parallel}
 	return run(func(ctx context.Context) (bool, error) { return load.Scenarios(ctx, options) })
 }
 
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -10,10 +10,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/daisyfold/daisyfold/internal/model"
 )
@@ -27,6 +29,8 @@
 	Dir string // of the scripts
 	// Name selects one script; empty runs all.
 	Name string
+	// Parallel is how many scripts run at once; each starts nine processes.
+	Parallel int
 }
 
 // scenario is the state of one running script.
@@ -51,23 +55,31 @@
 // scenarioKey is the key of the scenario among a script's values.
 type scenarioKey struct{}
 
-// Scenarios runs the scripts one after another and prints a line for each and a
-// last line with the totals. It reports whether all of them passed.
+// Scenarios runs the scripts and prints a line for each and a last line with the
+// totals. It reports whether all of them passed.
 func Scenarios(ctx context.Context, o ScenarioOptions) (bool, error) {
 	files, err := scripts(o)
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
-	passed, failed := 0, 0
+	var passed, failed atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(max(1, o.Parallel))
 	for _, file := range files {
-		if runScript(ctx, o.Options, file) {
-			passed++
-		} else {
-			failed++
-		}
+		group.Go(func() error {
+			if runScript(ctx, o.Options, file) {
+				passed.Add(1)
+			} else {
+				failed.Add(1)
+			}
+			return nil
+		})
 	}
-	_, err = fmt.Fprintf(o.Out, "scenarios: %d ok, %d failed\n", passed, failed)
-	return failed == 0, trace.Wrap(err)
+	if err := group.Wait(); err != nil {
+		return false, trace.Wrap(err)
+	}
+	_, err = fmt.Fprintf(o.Out, "scenarios: %d ok, %d failed\n", passed.Load(), failed.Load())
+	return failed.Load() == 0, trace.Wrap(err)
 }
 
 // scripts lists the selected script files.
@@ -165,8 +177,8 @@
 	t.FailNow()
 }
 
-// Parallel implements testscript.T. Scenarios run one after another, because each
-// of them starts nine processes.
+// Parallel implements testscript.T. Each script has a scriptT of its own, so there
+// is nothing to run beside it.
 func (t *scriptT) Parallel() {}
 
 // Log implements testscript.T.
@@ -254,7 +266,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	s.recorder.writeCauses(s.options.Errors)
+	s.recorder.writeCauses(log)
 	_, _ = fmt.Fprintln(log, v.String())
 	for _, finding := range v.Findings {
 		_, _ = fmt.Fprintln(log, finding)
