--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,7 @@
 	s := d.Settings
 	d.journal = journal.New(journal.Options{
 		Log: d.Outside.Log, Host: s.Host, Now: d.Now,
-		AppendsPerSecond: d.appendShare, Retention: logRetention, Logger: d.Logger,
+		AppendsPerSecond: d.appendShare, Retention: s.Retention(), Logger: d.Logger,
 	})
 	self := membership.Peer{Host: s.Host, Zone: s.Zone, Address: "http://" + s.Listen.Peer}
 	var peers []membership.Peer
@@ -73,7 +73,7 @@
 	})
 	d.sync = configsync.New(configsync.Options{
 		Board: d.board, Journal: d.journal, Members: d.members, Parse: parseText,
-		EditZone: config.SetZone, Retention: logRetention, Now: d.Now, Logger: d.Logger,
+		EditZone: config.SetZone, Retention: s.Retention(), Now: d.Now, Logger: d.Logger,
 	})
 	d.journal.Register(journal.StreamConfig, d.sync)
 	d.journal.RegisterSnapshotter(d.sync)
@@ -105,10 +105,11 @@
 	d.table = jobs.NewTable(d.Now)
 	d.jobs = jobs.NewService(jobs.Options{
 		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Journal: d.journal,
-		Table: d.table, Copier: d.members, Keeper: d.journal.Copies(),
-		NewID: d.NewID, Now: d.Now, Logger: d.part("jobs"),
+		Table: d.table, Copier: d.members, Keeper: d.journal, Relay: d.members, Owner: d.members.Owner,
+		NewID: d.NewID, Now: d.Now, Retention: d.Settings.Retention(), Logger: d.part("jobs"),
 	})
 	d.journal.Register(journal.StreamJobs, d.table)
+	d.journal.RegisterSnapshotter(d.jobs)
 }
 
 func (d *Daemon) buildCalls() {
@@ -124,7 +125,7 @@
 func (d *Daemon) buildShards() {
 	d.shards = shard.NewManager(shard.Options{
 		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Jobs: d.table,
-		Journal: d.journal, Copier: d.members, Keeper: d.journal.Copies(),
+		Journal: d.journal, Copier: d.members, Keeper: d.journal, Relay: d.members,
 		Dialer: d.Outside.Workers, Evidence: d.checker, Owner: d.members.Owner,
 		Guarantees: guaranteesOf, Blocked: d.blockedServices, History: &queue.History{},
 		Pool: d.pool, Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
@@ -193,7 +194,7 @@
 	g.Go(func() error { d.shards.Run(ctx); return nil })
 	g.Go(func() error { return every(ctx, hostListInterval, d.fetchHosts) })
 	g.Go(func() error {
-		return every(ctx, pruneInterval, func(context.Context) { d.table.Prune() })
+		return every(ctx, pruneInterval, func(context.Context) { d.table.Prune(d.Settings.Retention()) })
 	})
 }
 
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -76,7 +76,7 @@
 	t.mu.Lock()
 	t.last = offset
 	if r.Kind == journal.KindJobSnapshot {
-		t.applySnapshot(key, offset, r)
+		t.applySnapshot(key, r)
 	} else {
 		t.applyLogged(key, offset, r)
 	}
@@ -92,13 +92,40 @@
 		return
 	}
 	n, ok := next(cur, r)
-	if ok {
+	switch {
+	case ok:
 		t.store(key, n)
+		t.applyEarly(key)
+	case cur != nil && early(cur, r):
+		t.keepOrphan(key, offset, r)
+	}
+}
+
+// applyEarly applies kept records of a job that have become valid, in log order.
+func (t *Table) applyEarly(key model.JobKey) {
+	for applied := true; applied && len(t.orphans[key]) > 0; {
+		applied = false
+		var rest []orphan
+		for _, o := range t.orphans[key] {
+			e := t.entries[key]
+			if n, ok := next(e, o.rec); ok {
+				t.store(key, n)
+				applied = true
+			} else if early(e, o.rec) {
+				rest = append(rest, o)
+			}
+		}
+		t.nOrphan -= len(t.orphans[key]) - len(rest)
+		t.orphans[key] = rest
+	}
+	if len(t.orphans[key]) == 0 {
+		delete(t.orphans, key)
 	}
 }
 
-// keepOrphan keeps a record of a job that is not known yet: its acceptance is
-// older than the log's retention and its snapshot follows.
+// keepOrphan keeps a record that is not valid yet: the job's acceptance is older than
+// the log's retention and its snapshot follows, or records of an outage reached the
+// log out of order.
 func (t *Table) keepOrphan(key model.JobKey, offset int64, r journal.Record) {
 	if t.nOrphan >= maxOrphans {
 		return
@@ -107,12 +134,21 @@
 	t.nOrphan++
 }
 
-func (t *Table) applySnapshot(key model.JobKey, _ int64, r journal.Record) {
+func (t *Table) applySnapshot(key model.JobKey, r journal.Record) {
 	var b journal.JobSnapshot
-	if t.entries[key] != nil || json.Unmarshal(r.Body, &b) != nil {
+	if json.Unmarshal(r.Body, &b) != nil {
 		return
 	}
-	e := &Entry{Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec)}
+	if cur := t.entries[key]; cur != nil {
+		n := *cur
+		n.BaseUnixMS = r.UnixMS
+		t.store(key, &n)
+		return
+	}
+	e := &Entry{
+		Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec), BaseUnixMS: r.UnixMS,
+		PlacedRecord: b.PlacedRecord, PlacedBy: b.PlacedBy, Failures: b.Failures,
+	}
 	for _, o := range t.orphans[key] {
 		if o.offset <= b.ThroughOffset {
 			continue
@@ -377,11 +413,14 @@
 	return append([]model.Reason(nil), t.reasons[key]...)
 }
 
-// Prune drops jobs that have been final for keepFinal.
-func (t *Table) Prune() {
-	limit := t.now().Add(-keepFinal).UnixMilli()
+// Prune drops jobs that have been final for keepFinal, and records of jobs that
+// stayed unknown for orphanRetentions times the log's retention.
+func (t *Table) Prune(retention time.Duration) {
+	now := t.now()
+	limit := now.Add(-keepFinal).UnixMilli()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.pruneOrphans(now.Add(-orphanRetentions * retention).UnixMilli())
 	for key, e := range t.entries {
 		if e.Job.State.Final() && e.Job.EndUnixMS < limit && t.over[key] == nil {
 			delete(t.entries, key)
@@ -428,3 +467,28 @@
 	}
 	return out
 }
+
+// counts reports whether a logged record is the one that decided about its job: the
+// placement of the current attempt, or the acceptance of the job as it stands.
+// Records of other kinds only state facts.
+func (t *Table) counts(r journal.Record) bool {
+	key, ok := keyOf(r)
+	if !ok {
+		return false
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.entries[key]
+	if e == nil {
+		return false
+	}
+	switch r.Kind {
+	case journal.KindJobPlaced:
+		return e.PlacedRecord == r.ID
+	case journal.KindJobAccepted:
+		var b journal.JobAccepted
+		return json.Unmarshal(r.Body, &b) == nil && Digest(b.Spec) == e.Digest
+	default:
+		return true
+	}
+}
