--- a/internal/calls/once.go
+++ b/internal/calls/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -42,7 +43,9 @@
 	}
 	s.entries.setIntent(e, in.UniqueID)
 	if err := s.appendIntent(ctx, p, in); err != nil {
-		s.background(journal.KindCallCancelled, cancellation(in))
+		if !errors.Is(err, journal.ErrNotRecorded) {
+			s.background(journal.KindCallCancelled, cancellation(in))
+		}
 		return s.settle(ctx, p, e, apierror.NotRun(apierror.CodeLogUnavailable, "the intent of request %s was not recorded: %v", p.req.ID, err))
 	}
 	known, ok := s.cfg.Table.get(p.key)
