--- a/internal/bench/requests.go
+++ b/internal/bench/requests.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"sync"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/routing"
@@ -26,14 +27,32 @@
 func boundedRequests(seed int64) []Figure {
 	disturbed := scenario{requests: simRequests, load: 0.5, skew: 1, slow: 1, slowFactor: 5, failing: 1}
 	third := scenario{requests: simRequests, load: 0.5, skew: 1, failing: simZones * simTargetsPerZone / 3}
-	chosen, baseline := runRequests(seed, disturbed, powerOfTwo), runRequests(seed, disturbed, roundRobin)
-	failing, failingBaseline := runRequests(seed, third, powerOfTwo), runRequests(seed, third, roundRobin)
+	outcomes := runAll(seed, []trial{{disturbed, powerOfTwo}, {disturbed, roundRobin}, {third, powerOfTwo}, {third, roundRobin}})
+	chosen, baseline, failing, failingBaseline := outcomes[0], outcomes[1], outcomes[2], outcomes[3]
 	return []Figure{
 		{"request_p99", milliseconds(chosen.p99), "ms", "round_robin", milliseconds(baseline.p99)},
 		{"retries_share", failing.retriesShare(), "1", "round_robin", failingBaseline.retriesShare()},
 	}
 }
 
+// trial is one run of a scenario.
+type trial struct {
+	scenario scenario
+	policy   func() routing.Policy
+}
+
+// runAll runs trials side by side. They share nothing and their time is virtual, so
+// the outcomes do not depend on it.
+func runAll(seed int64, trials []trial) []outcome {
+	out := make([]outcome, len(trials))
+	var running sync.WaitGroup
+	for i, t := range trials {
+		running.Go(func() { out[i] = runRequests(seed, t.scenario, t.policy) })
+	}
+	running.Wait()
+	return out
+}
+
 func (o outcome) retriesShare() float64 { return float64(o.retries) / float64(o.calls) }
 
 // policies are the compared ones, the baseline first.
@@ -50,14 +69,15 @@
 }
 
 func comparePolicies(seed int64, load string, sc scenario) []Figure {
-	var figures []Figure
-	var base outcome
+	trials := make([]trial, len(policies))
 	for i, policy := range policies {
-		o := runRequests(seed, sc, policy)
-		if i == 0 {
-			base = o
-		}
-		name := load + "_" + policy().Name()
+		trials[i] = trial{sc, policy}
+	}
+	var figures []Figure
+	outcomes := runAll(seed, trials)
+	base := outcomes[0]
+	for i, o := range outcomes {
+		name := load + "_" + policies[i]().Name()
 		figures = append(figures,
 			Figure{name + "_p99", milliseconds(o.p99), "ms", "round_robin", milliseconds(base.p99)},
 			Figure{name + "_throughput", o.throughput, "1/s", "round_robin", base.throughput})
--- a/internal/bench/requestsim.go
+++ b/internal/bench/requestsim.go
@@ -174,11 +174,10 @@
 }
 
 func (s *requestSim) arrive(h *simHost) {
-	r := &simRequest{host: h, arrived: s.now, size: 1, tried: map[model.TargetID]bool{}}
+	r := &simRequest{host: h, arrived: s.now, size: 1}
 	if s.random.Float64() < s.scenario.longShare {
 		r.size = s.scenario.longFactor
 	}
-	r.delay = routing.NewBackoff(s.random).Next
 	h.budget.Call()
 	if s.now >= simWarmUp {
 		s.out.calls++
@@ -279,6 +278,10 @@
 }
 
 func (s *requestSim) retry(r *simRequest, tried model.TargetID) {
+	if r.tried == nil {
+		r.tried = map[model.TargetID]bool{}
+		r.delay = routing.NewBackoff(s.random).Next
+	}
 	r.tried[tried] = true
 	wait := r.delay()
 	if s.now+wait >= r.arrived+simDeadline || !r.host.budget.Spend() {
