Promise places to large gangs and count one guarantee once in the benchmark

Change: the second call sees the starts, and guaranteed work takes any free place before it reclaims.

--- a/internal/bench/jobs.go
+++ b/internal/bench/jobs.go
@@ -2,13 +2,14 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"time"
 )
 
-const baselineName = "first_fit_in_arrival_order"
+const (
+	baselineName = "first_fit_in_arrival_order"
+	blockingName = "first_fit_strict_arrival_order"
+)
 
 // largeGang is the size in accelerators from which p95_completion counts.
 const largeGang = 16
@@ -23,26 +24,25 @@
 }
 
 // mixFigures runs a day of a deployment's job mix under the planner and the baseline.
+// The baseline passes over jobs that do not fit; a second one, which lets them block
+// the queue, is shown for the mean.
 func mixFigures(d *deployment, seed uint64) []Figure {
-	if v, err := strconv.ParseFloat(os.Getenv("LOAD"), 64); err == nil {
-		d.load = v
-	}
 	ours := runMix(d, seed, daisyfold)
 	base := runMix(d, seed, firstFit)
-	rt := 0.0
-	for _, j := range ours.all {
-		rt += j.runtime.Seconds()
-	}
-	println("jobs", len(ours.all), "mean runtime", int(rt)/len(ours.all), "end h, load", os.Getenv("LOAD"), int(ours.now.Hours()), int(base.now.Hours()))
+	blocking := runMix(d, seed, blockingFirstFit)
 	compare := func(name, unit string, of func(*sim) float64) Figure {
 		return Figure{name + "_" + d.name, of(ours), unit, baselineName, of(base)}
 	}
 	count := func(name string, n int) Figure {
 		return Figure{Name: name + "_" + d.name, Value: float64(n), Unit: "count"}
 	}
+	meanOf := func(s *sim) float64 { return mean(s.completions(0)) }
+	p95Of := func(s *sim) float64 { return quantile(s.completions(largeGang), 0.95) }
 	return []Figure{
-		compare("mean_completion", "s", func(s *sim) float64 { return mean(s.completions(0)) }),
-		compare("p95_completion_gang16", "s", func(s *sim) float64 { return quantile(s.completions(largeGang), 0.95) }),
+		compare("mean_completion", "s", meanOf),
+		{"mean_completion_strict_" + d.name, meanOf(ours), "s", blockingName, meanOf(blocking)},
+		compare("p95_completion_gang16", "s", p95Of),
+		{"p95_completion_gang16_strict_" + d.name, p95Of(ours), "s", blockingName, p95Of(blocking)},
 		compare("fragmentation", "share", func(s *sim) float64 { return s.frag.mean() }),
 		count("partial_gangs", ours.partial),
 		count("guarantee_overdrafts", ours.overdrafts),
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -1,10 +1,11 @@
 package bench
 
 import (
+	"time"
+
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/planner"
 	"github.com/daisyfold/daisyfold/internal/topology"
-	"time"
 )
 
 // snapshot returns the planner's view of a zone without waiting jobs.
@@ -37,52 +38,31 @@
 // start at once.
 func daisyfold(s *sim, zone int) *planner.Plan {
 	snap := s.snapshot(zone)
-	others := 0
 	for _, j := range s.waiting {
 		if j.zone == zone {
 			snap.Waiting = append(snap.Waiting, j.job)
-		} else {
-			others++
 		}
 	}
 	p := planner.Decide(snap)
-	if others == 0 || !s.anyFree(snap, p) {
+	free := s.free(snap, p)
+	if free == 0 || len(p.Preempt) > 0 {
 		return p
 	}
+	snap.Running = append(snap.Running, p.Starts...)
 	snap.Waiting = nil
 	for _, j := range s.waiting {
-		snap.Waiting = append(snap.Waiting, j.job)
-	}
-	for _, start := range planner.Decide(snap).Starts {
-		if s.all[start.Job].zone != zone && fits(snap, p, &start) {
-			p.Starts = append(p.Starts, start)
+		if j.zone != zone && j.job.Spec.Accelerators() <= free {
+			snap.Waiting = append(snap.Waiting, j.job)
 		}
 	}
-	return p
-}
-
-// fits reports whether a start overlaps neither the plan's starts nor its victims'
-// places.
-func fits(snap *planner.Snapshot, p *planner.Plan, start *model.Placement) bool {
-	if len(p.Preempt) > 0 {
-		return false
+	if len(snap.Waiting) > 0 {
+		p.Starts = append(p.Starts, planner.Decide(snap).Starts...)
 	}
-	t := topology.New(snap.Workers, append(append([]model.Placement{}, snap.Running...), p.Starts...))
-	for i := range start.Members {
-		m := &start.Members[i]
-		node, _ := t.Index(m.Worker)
-		n := &t.Nodes[node]
-		if topology.Of(m.Accelerators)&^n.Free != 0 || n.CPUs < m.Resources.CPUs || n.MemoryMB < m.Resources.MemoryMB {
-			return false
-		}
-		n.Free &^= topology.Of(m.Accelerators)
-		n.CPUs -= m.Resources.CPUs
-		n.MemoryMB -= m.Resources.MemoryMB
-	}
-	return true
+	return p
 }
 
-func (s *sim) anyFree(snap *planner.Snapshot, p *planner.Plan) bool {
+// free returns the accelerators that a plan leaves free.
+func (s *sim) free(snap *planner.Snapshot, p *planner.Plan) int {
 	free := len(snap.Workers) * model.WorkerAccelerators
 	for i := range snap.Running {
 		free -= s.all[snap.Running[i].Job].job.Spec.Accelerators()
@@ -90,7 +70,7 @@
 	for i := range p.Starts {
 		free -= s.all[p.Starts[i].Job].job.Spec.Accelerators()
 	}
-	return free > 0
+	return free
 }
 
 // firstFit is the baseline: it goes through the jobs of all zones in order of arrival
@@ -103,6 +83,7 @@
 func blockingFirstFit(s *sim, zone int) *planner.Plan { return arrivalOrder(s, zone, true) }
 
 func arrivalOrder(s *sim, zone int, blocking bool) *planner.Plan {
+	s.oneQueue = true
 	p := &planner.Plan{}
 	snap := s.snapshot(zone)
 	t := topology.New(snap.Workers, snap.Running)
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -17,7 +17,7 @@
 	// restoreDelay is the time to load a checkpoint.
 	restoreDelay = 10 * time.Second
 	// planInterval is the time between plans while jobs wait.
-	planInterval = time.Minute
+	planInterval = 2 * time.Minute
 )
 
 // policy decides for one zone; it is the planner or the baseline.
@@ -84,9 +84,12 @@
 	frag    fragmentation
 	until   time.Duration // stop here, 0 for when all jobs ended
 	ticking bool
+	// oneQueue plans all zones at each change.
+	oneQueue bool
 	// Counters of broken rules and of lost work.
 	partial, overdrafts, preemptions int
-	// done is the work in accelerator-seconds that running jobs finished by zone.
+	// done is the useful work and capacity the work that the zones in service could
+	// do, in accelerator-seconds, from measureFrom on.
 	done, capacity float64
 	measureFrom    time.Duration
 }
@@ -139,11 +142,6 @@
 			}
 			s.capacity += seconds * float64(len(z.workers)*model.WorkerAccelerators)
 			for _, j := range z.running {
-				if j.stops > 0 {
-					lossStop += seconds * float64(j.job.Spec.Accelerators())
-				} else if s.now < j.started {
-					lossStart += seconds * float64(j.job.Spec.Accelerators())
-				}
 				if j.stops == 0 && s.now >= j.started {
 					s.done += seconds * float64(j.job.Spec.Accelerators())
 				}
@@ -158,7 +156,7 @@
 	case eventArrival:
 		e.job.zone = s.home(e.job)
 		s.waiting = append(s.waiting, e.job)
-		s.touchAll()
+		s.touch(e.job.zone)
 	case eventFinish:
 		if e.job.running != nil && e.job.job.Attempt == e.attempt && e.job.stops == 0 {
 			s.finish(e.job)
@@ -175,6 +173,14 @@
 	}
 }
 
+// touch marks a zone for planning. The baseline has one queue for all zones.
+func (s *sim) touch(zone int) {
+	if s.oneQueue {
+		s.touchAll()
+	}
+	s.zones[zone].dirty = true
+}
+
 func (s *sim) touchAll() {
 	for _, z := range s.zones {
 		z.dirty = true
@@ -207,7 +213,7 @@
 	}
 	j.running = nil
 	j.stops = 0
-	s.touchAll()
+	s.touch(j.zone)
 }
 
 func (s *sim) finish(j *simJob) {
@@ -326,5 +332,3 @@
 	}
 	return n
 }
-
-var lossStop, lossStart float64
--- a/internal/planner/head.go
+++ b/internal/planner/head.go
@@ -11,13 +11,13 @@
 	"github.com/daisyfold/daisyfold/internal/topology"
 )
 
-// maxHeadTrials bounds the search for the head gang. Jobs that fit free places start
-// anyway and need no reservation.
+// maxHeadTrials bounds the search for promised places and for the head gang.
 const maxHeadTrials = 16
 
-// passHead reserves a place for the first gang in the order that does not fit. It
-// comes before guaranteed work, so that this work prefers other places.
-func (p *planning) passHead(items []*queue.Item) {
+// passLarge promises places to gangs that can have them now or once stopping work is
+// gone, and reserves a place for the first gang that cannot. It comes before other
+// work is placed, because small jobs would take such places bit by bit.
+func (p *planning) passLarge(items []*queue.Item) {
 	var rest []*queue.Item
 	for _, it := range items {
 		if !p.decided[it.Job] && it.Job.Spec.Accelerators() >= model.WorkerAccelerators && !p.exceedsQuota(it) {
@@ -25,22 +25,67 @@
 		}
 	}
 	order := queue.NewOrder(rest, p.shares)
-	tried := make(map[attemptKey]bool)
-	for it := order.Next(); it != nil && len(tried) < maxHeadTrials; it = order.Next() {
+	failed := make(map[attemptKey]bool)
+	it := order.Next()
+	for trials := 0; it != nil && trials < maxHeadTrials; it = order.Next() {
 		key := p.key(searchFree, it)
-		if tried[key] {
+		if failed[key] {
 			continue
 		}
-		tried[key] = true
-		if placement.Find(p.table, p.request(it), nil) != nil {
-			continue
-		}
-		p.head = it
-		if found := p.reserve(it); found != nil {
-			p.defragment(it, found)
+		trials++
+		r := p.request(it)
+		found := placement.Find(p.table, r, p.stoppingCost)
+		switch {
+		case found == nil:
+			failed[key] = true
+			if p.head == nil {
+				p.head = it
+			}
+		case len(found.Clear) > 0 || it.Aged:
+			p.promise(it, found)
 		}
+	}
+	if p.head == nil {
 		return
 	}
+	if found := p.reserve(p.head); found != nil {
+		p.defragment(p.head, found)
+	}
+}
+
+// stoppingCost waits only for work that stops already.
+func (p *planning) stoppingCost(gang int) (float64, bool) {
+	return 0, p.stopping[gang]
+}
+
+// promise keeps a place for one job for the rest of the plan.
+func (p *planning) promise(it *queue.Item, found *placement.Result) {
+	own := p.masks(found.Members)
+	p.promises[it.Job] = own
+	p.promised = union(p.promised, own)
+}
+
+// blocked returns the accelerators that are held or promised to other jobs.
+func (p *planning) blocked(it *queue.Item) []topology.Mask {
+	own, ok := p.promises[it.Job]
+	if !ok && len(p.promises) == 0 {
+		return p.held
+	}
+	out := union(p.held, p.promised)
+	for i := range own {
+		out[i] &^= own[i] &^ p.held[i]
+	}
+	return out
+}
+
+func (p *planning) masks(members []model.Member) []topology.Mask {
+	out := make([]topology.Mask, len(p.table.Nodes))
+	for i := range members {
+		if node, ok := p.table.Index(members[i].Worker); ok {
+			out[node] |= topology.Of(members[i].Accelerators)
+		}
+	}
+	return out
 }
 
 // reserve chooses the place that the head gang can have soonest. Work that can be
@@ -57,12 +102,7 @@
 	if found == nil {
 		return nil
 	}
-	p.reserved = make([]topology.Mask, len(p.table.Nodes))
-	for i := range found.Members {
-		if node, ok := p.table.Index(found.Members[i].Worker); ok {
-			p.reserved[node] |= topology.Of(found.Members[i].Accelerators)
-		}
-	}
+	p.reserved = p.masks(found.Members)
 	for _, gang := range found.Clear {
 		p.shadow = max(p.shadow, p.left(gang))
 	}
@@ -74,10 +114,9 @@
 func (p *planning) defragment(it *queue.Item, found *placement.Result) {
 	blockers := make([]defrag.Blocker, 0, len(found.Clear))
 	for _, gang := range found.Clear {
-		g := &p.table.Gangs[gang]
 		blockers = append(blockers, defrag.Blocker{
 			Gang: gang, Left: p.left(gang),
-			Movable: !p.pinned(gang) && !p.stopping[gang] && g.Priority <= it.Priority && p.ran(g) >= protected(g),
+			Movable: !p.stopping[gang] && p.movable(it, gang),
 		})
 	}
 	for _, gang := range defrag.Choose(p.table, p.reserved, it.Size, blockers, p.snap.Now) {
@@ -96,3 +135,43 @@
 	}
 	return p.lefts[gang]
 }
+
+// maxMoveTrials bounds the searches for moves in one plan.
+const maxMoveTrials = 4
+
+// placeByMoving clears a place whose gangs all have room elsewhere at once, when the
+// job's expected wait justifies the lost work. A job is expected to wait for about as
+// long as it has waited.
+func (p *planning) placeByMoving(it *queue.Item) bool {
+	if it.Size < model.WorkerAccelerators || p.moveTrials >= maxMoveTrials || it.Job.Spec.NonRepeatable {
+		return false
+	}
+	p.moveTrials++
+	found := reclaim.Find(p.table, p.request(it), func(gang int) (float64, bool) {
+		if p.stopping[gang] {
+			return 0, true
+		}
+		if gang >= p.running || !p.movable(it, gang) {
+			return 0, false
+		}
+		return reclaim.LostWork(&p.table.Gangs[gang], p.snap.Now), true
+	})
+	if found == nil || !defrag.Justified(found.Cost, it.Size, it.Waited-it.Attained) {
+		return false
+	}
+	place := union(p.blocked(it), p.masks(found.Members))
+	for i := range p.reserved {
+		place[i] |= p.reserved[i]
+	}
+	if !defrag.Room(p.table, place, found.Clear) {
+		return false
+	}
+	p.acceptAs(it, found, false, model.ReasonDefrag)
+	return true
+}
+
+// movable reports whether a gang may be stopped so that it starts again elsewhere.
+func (p *planning) movable(it *queue.Item, gang int) bool {
+	g := &p.table.Gangs[gang]
+	return !p.pinned(gang) && g.Priority <= it.Priority && p.ran(g) >= protected(g)
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -33,7 +33,7 @@
 func (p *planning) request(it *queue.Item) *placement.Request {
 	spec := &it.Job.Spec
 	return &placement.Request{
-		Tasks: spec.Tasks, Task: spec.Task, Within: spec.Within, Blocked: p.held,
+		Tasks: spec.Tasks, Task: spec.Task, Within: spec.Within, Blocked: p.blocked(it),
 		Trial: !spec.NonRepeatable && it.Priority != model.PriorityUrgent,
 	}
 }
@@ -71,25 +71,18 @@
 	return false
 }
 
-// placeWithin tries places in order of the harm they do: free ones outside the head
-// gang's reservation, those held by small work that ran for a while, free ones inside
-// the reservation, and last any that guaranteed work may reclaim.
+// placeWithin tries places in order of the harm they do: free ones that no other job
+// is to have, any free ones, and last those that guaranteed work may reclaim. Free
+// places come before reclaim, because work that was stopped for this job may have been
+// promised its place again.
 func (p *planning) placeWithin(it *queue.Item) bool {
-	outside := p.held
+	outside := p.blocked(it)
 	if p.reserved != nil {
-		outside = union(p.held, p.reserved)
-	}
-	spare := p.spareCost(it)
-	gentle := func(gang int) (float64, bool) {
-		if gang < p.running && !p.stopping[gang] && p.shielded(it, gang) {
-			return 0, false
-		}
-		return spare(gang)
+		outside = union(outside, p.reserved)
 	}
 	return p.tryWithin(it, outside, nil) ||
-		p.reserved != nil && p.tryWithin(it, outside, gentle) ||
-		p.reserved != nil && p.tryWithin(it, p.held, nil) ||
-		p.tryWithin(it, p.held, spare)
+		p.tryWithin(it, p.held, nil) ||
+		p.tryWithin(it, p.held, p.spareCost(it))
 }
 
 // tryWithin starts the job within its organisation's guarantee if a place is found. It
@@ -146,7 +139,7 @@
 
 // placeSpare starts the job on spare capacity and gives its reason.
 func (p *planning) placeSpare(it *queue.Item) {
-	if p.placeFree(it) || p.placeByPreemption(it) {
+	if p.placeFree(it) || p.placeByPreemption(it) || p.placeByMoving(it) {
 		return
 	}
 	if it.Job.Spec.NonRepeatable {
@@ -174,7 +167,7 @@
 	key := p.key(searchFree, it)
 	pinned := it.Job.Spec.NonRepeatable
 	key.backfill = pinned && p.endsBeforeShadow(it)
-	if p.failed[key] {
+	if p.failed[key] && p.promises[it.Job] == nil {
 		return false
 	}
 	r := p.request(it)
@@ -182,7 +175,7 @@
 		r.Allowed = p.unclaimed()
 	}
 	if pinned && p.reserved != nil && !key.backfill {
-		r.Blocked = union(p.held, p.reserved)
+		r.Blocked = union(r.Blocked, p.reserved)
 	}
 	found := placement.Find(p.table, r, nil)
 	if found == nil {
@@ -220,7 +213,7 @@
 // placeByPreemption clears a place of work that the job may preempt.
 func (p *planning) placeByPreemption(it *queue.Item) bool {
 	key := p.key(searchPreempt, it)
-	if p.failed[key] {
+	if p.failed[key] && p.promises[it.Job] == nil {
 		return false
 	}
 	r := p.request(it)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -12,24 +12,27 @@
 
 // planning is the state of one call of Decide.
 type planning struct {
-	snap      *Snapshot
-	out       *Plan
-	table     *topology.Table
-	running   int // the first gangs of the table run; later ones are new
-	book      *guarantee.Book
-	estimates *queue.Estimates
-	shares    *queue.Shares
-	orgs      map[model.Organisation]*Organisation
-	used      map[model.Organisation]int // accelerators in the whole deployment
-	levels    []int                      // by running gang, -1 until computed
-	lefts     []time.Duration            // by running gang, -1 until computed
-	stopping  map[int]bool               // gangs that stop already or in this plan
-	held      []topology.Mask            // promised to jobs that wait for victims
-	head      *queue.Item                // the first gang that does not fit
-	reserved  []topology.Mask            // for the head gang, nil without one
-	shadow    time.Duration              // when the head gang can start
-	decided   map[*model.Job]bool
-	failed    map[attemptKey]bool
+	snap       *Snapshot
+	out        *Plan
+	table      *topology.Table
+	running    int // the first gangs of the table run; later ones are new
+	book       *guarantee.Book
+	estimates  *queue.Estimates
+	shares     *queue.Shares
+	orgs       map[model.Organisation]*Organisation
+	used       map[model.Organisation]int // accelerators in the whole deployment
+	levels     []int                      // by running gang, -1 until computed
+	lefts      []time.Duration            // by running gang, -1 until computed
+	stopping   map[int]bool               // gangs that stop already or in this plan
+	held       []topology.Mask            // promised to jobs that wait for victims
+	head       *queue.Item                // the first gang that does not fit
+	reserved   []topology.Mask            // for the head gang, nil without one
+	promised   []topology.Mask            // to jobs that can have them soon
+	promises   map[*model.Job][]topology.Mask
+	moveTrials int
+	shadow     time.Duration // when the head gang can start
+	decided    map[*model.Job]bool
+	failed     map[attemptKey]bool
 }
 
 // attemptKey names a search that failed. Free resources only shrink during a plan, so
@@ -69,7 +72,7 @@
 	}
 	items := p.admit()
 	p.passUrgent(items)
-	p.passHead(items)
+	p.passLarge(items)
 	p.passGuaranteed(items)
 	p.passSpare(items)
 	return p.out
@@ -80,8 +83,9 @@
 		snap: s, out: &Plan{}, table: topology.New(s.Workers, s.Running), running: len(s.Running),
 		estimates: queue.NewEstimates(s.History), orgs: make(map[model.Organisation]*Organisation),
 		used: make(map[model.Organisation]int), stopping: make(map[int]bool),
-		held:    make([]topology.Mask, len(s.Workers)),
-		decided: make(map[*model.Job]bool), failed: make(map[attemptKey]bool),
+		held: make([]topology.Mask, len(s.Workers)), promised: make([]topology.Mask, len(s.Workers)),
+		promises: make(map[*model.Job][]topology.Mask),
+		decided:  make(map[*model.Job]bool), failed: make(map[attemptKey]bool),
 	}
 	p.book = p.newBook(nil)
 	p.levels = make([]int, p.running)
@@ -231,6 +235,11 @@
 
 // accept starts a job, or preempts the gangs in its way and keeps the place for it.
 func (p *planning) accept(it *queue.Item, found *placement.Result, guaranteed bool) {
+	p.acceptAs(it, found, guaranteed, model.ReasonPreempted)
+}
+
+// acceptAs is accept with the reason code for the gangs that must stop.
+func (p *planning) acceptAs(it *queue.Item, found *placement.Result, guaranteed bool, code model.ReasonCode) {
 	spec := &it.Job.Spec
 	start := model.Placement{
 		Job: spec.Key, Attempt: it.Job.Attempt + 1, Shard: p.snap.Shard, Members: found.Members,
@@ -247,19 +256,10 @@
 		p.reason(it.Job, model.ReasonPlaced, "")
 		return
 	}
-	p.hold(found.Members)
+	p.held = union(p.held, p.masks(found.Members))
 	p.reason(it.Job, model.ReasonPreempting, "waits for preempted work to stop")
 	for _, gang := range found.Clear {
-		p.preempt(gang, spec.Key, model.ReasonPreempted)
-	}
-}
-
-// hold keeps accelerators for a job that waits for victims to stop.
-func (p *planning) hold(members []model.Member) {
-	for i := range members {
-		if node, ok := p.table.Index(members[i].Worker); ok {
-			p.held[node] |= topology.Of(members[i].Accelerators)
-		}
+		p.preempt(gang, spec.Key, code)
 	}
 }
 
