Let records expire and hosts restart in the random tests

Cause: retention and restarts were tried in one fixed scenario only. Change: the fake log drops records after 16 s; the racing operators meet hosts that restart empty; restarts are among the faults of a zone-out.

--- a/internal/statetest/cluster_test.go
+++ b/internal/statetest/cluster_test.go
@@ -27,7 +27,8 @@
 
 var zoneNames = []model.Zone{"brest", "quimper", "rennes", "vannes"}
 
-const testRetention = 80 * time.Second
+// testRetention is short, so that records expire during the tests.
+const testRetention = 16 * time.Second
 
 // cluster is a deployment on virtual time.
 type cluster struct {
@@ -197,7 +198,12 @@
 	return c.started[z]
 }
 
-func (c *cluster) node(i int) *node { return c.nodes[c.peers[i].Host] }
+// node returns the i-th host's daemon, or nil while it does not run.
+func (c *cluster) node(i int) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[c.peers[i].Host]
+}
 
 func (c *cluster) kill(host model.HostID) {
 	c.mu.Lock()
@@ -207,6 +213,12 @@
 	n.stop()
 }
 
+func (c *cluster) restart(host model.HostID) {
+	p := c.nodes[host].Peer
+	c.kill(host)
+	c.start(p)
+}
+
 func (c *cluster) close() {
 	for _, p := range c.peers {
 		if c.nodes[p.Host] != nil {
--- a/internal/statetest/config_test.go
+++ b/internal/statetest/config_test.go
@@ -85,8 +85,7 @@
 				t.Fatal(err)
 			}
 		}
-		time.Sleep(testRetention)
-		c.log.retain("config", 1)
+		time.Sleep(2 * testRetention)
 		c.kill(late.Host)
 		c.kill(c.peers[2].Host)
 		c.heal()
--- a/internal/statetest/log_test.go
+++ b/internal/statetest/log_test.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	records map[string][][]byte
+	times   map[string][]time.Time
 	first   map[string]int64
 	changed chan struct{}
 	// down answers every call with an error; silent lets every call hang.
@@ -37,7 +38,7 @@
 func newFakeLog(seed uint64) *fakeLog {
 	return &fakeLog{
 		rng: rand.New(rand.NewPCG(seed, 1)), records: make(map[string][][]byte),
-		first: make(map[string]int64), changed: make(chan struct{}),
+		times: make(map[string][]time.Time), first: make(map[string]int64), changed: make(chan struct{}),
 		cut: make(map[model.HostID]bool), latency: time.Millisecond,
 	}
 }
@@ -51,11 +52,6 @@
 	l.changed = make(chan struct{})
 }
 
-// retain drops all but the last n records of a stream.
-func (l *fakeLog) retain(stream string, n int) {
-	l.set(func() { l.first[stream] = max(0, int64(len(l.records[stream])-n)) })
-}
-
 // hostLog is the log as one host sees it.
 type hostLog struct {
 	*fakeLog
@@ -115,6 +111,9 @@
 	l.set(func() {
 		at = int64(len(l.records[stream]))
 		l.records[stream] = append(l.records[stream], records...)
+		for range records {
+			l.times[stream] = append(l.times[stream], time.Now())
+		}
 	})
 	return at
 }
@@ -143,6 +142,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.records[stream]
+	for l.first[stream] < int64(len(all)) && time.Since(l.times[stream][l.first[stream]]) > testRetention {
+		l.first[stream]++
+	}
 	b := logservice.Batch{First: l.first[stream], Head: int64(len(all))}
 	for o := max(from, b.First); o < b.Head && len(b.Records) < limit; o++ {
 		b.Records = append(b.Records, logservice.Record{Offset: o, Data: all[o]})
--- a/internal/statetest/race_test.go
+++ b/internal/statetest/race_test.go
@@ -63,8 +63,11 @@
 	ops []porcupine.Operation
 }
 
-func (o *operators) publish(client int, e edit) answer {
+func (o *operators) publish(client int, e edit) {
 	n := o.c.node(int(o.c.rand() * 8))
+	if n == nil {
+		return
+	}
 	called := time.Now().UnixNano()
 	version, err := n.sync.Publish(within(4*time.Second), e.id, e.base, textOf(e.id))
 	out := answer{version: version, code: codeOf(err)}
@@ -75,16 +78,19 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ops = append(o.ops, porcupine.Operation{ClientId: client, Input: e, Output: out, Call: called, Return: returned})
-	return out
 }
 
 // run publishes on the version that a random host has; now and then it repeats its
 // last edit or its id at another host, or names a version that is not in force.
 func (o *operators) run(client int, rng *rand.Rand) {
 	var last edit
-	for i := range 12 {
+	for i := range 14 {
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		e := edit{fmt.Sprintf("op%d-%d", client, i), o.c.node(rng.IntN(8)).sync.ConfigVersion()}
+		n := o.c.node(rng.IntN(8))
+		if n == nil {
+			continue
+		}
+		e := edit{fmt.Sprintf("op%d-%d", client, i), n.sync.ConfigVersion()}
 		switch p := rng.IntN(10); {
 		case p < 2 && last.id != "":
 			e = last
@@ -100,7 +106,8 @@
 
 // Guards D5: of racing edits exactly one is accepted, the same one at every host, an
 // id is accepted once, and "not run" stays true, while append answers are lost or
-// late, the log fails for seconds and hosts cannot reach it.
+// late, the log fails for seconds, hosts cannot reach it, and hosts restart empty
+// after the first records are gone.
 func TestRacingOperators(t *testing.T) {
 	for i := range max(4, *roundsFlag/2) {
 		seed := *seedFlag + uint64(i)
@@ -138,15 +145,20 @@
 }
 
 func disturb(c *cluster, rng *rand.Rand) {
-	for range 4 {
+	for range 5 {
 		time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
-		switch rng.IntN(3) {
+		switch rng.IntN(4) {
 		case 0:
 			c.log.set(func() { c.log.down = true })
 		case 1:
 			c.log.set(func() { c.log.silent = true })
 		case 2:
 			c.cutLog(zoneNames[rng.IntN(len(zoneNames))])
+		case 3:
+			p := c.peers[rng.IntN(len(c.peers))]
+			c.kill(p.Host)
+			time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+			c.start(p)
 		}
 		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
 		c.heal()
--- a/internal/statetest/zone_test.go
+++ b/internal/statetest/zone_test.go
@@ -50,6 +50,8 @@
 	{"another zone cut off from peers", func(c *cluster, _, other model.Zone) { c.isolate(other) }},
 	{"slow platform", func(c *cluster, _, _ model.Zone) { c.log.set(func() { c.log.latency = 900 * time.Millisecond }) }},
 	{"very slow platform", func(c *cluster, _, _ model.Zone) { c.log.set(func() { c.log.latency = 2500 * time.Millisecond }) }},
+	{"a host of the zone restarts empty", func(c *cluster, out, _ model.Zone) { c.restart(model.HostID(out + "-1")) }},
+	{"another host restarts empty", func(c *cluster, _, other model.Zone) { c.restart(model.HostID(other + "-0")) }},
 	{"a host of the zone dies", func(c *cluster, out, _ model.Zone) { c.kill(model.HostID(out + "-0")) }},
 }
 
