--- a/internal/statetest/config_test.go
+++ b/internal/statetest/config_test.go
@@ -16,7 +16,7 @@
 // must never come back.
 func TestConfigInForceEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 1, 2)
+		c := newCluster(t, *seedFlag, 2)
 		defer c.close()
 		c.publishFirst()
 		c.cutLog("brest")
