Move the log with faults to a test support package

Cause: tests of jobs and calls need a log with faults as well. Change: internal/platform/logservice/logtest, used by internal/statetest.

--- a/internal/statetest/cluster_test.go
+++ b/internal/statetest/cluster_test.go
@@ -22,6 +22,7 @@
 	"github.com/daisyfold/daisyfold/internal/membership"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/peerserver"
+	"github.com/daisyfold/daisyfold/internal/platform/logservice/logtest"
 	"github.com/daisyfold/daisyfold/internal/rpc/peer"
 )
 
@@ -33,7 +34,7 @@
 // cluster is a deployment on virtual time.
 type cluster struct {
 	t     *testing.T
-	log   *fakeLog
+	log   *logtest.Log
 	peers []membership.Peer
 	wire  func(from, to model.HostID) peer.Peer
 
@@ -92,7 +93,7 @@
 
 func newClusterOf(t *testing.T, seed uint64, zones []model.Zone, perZone int) *cluster {
 	c := &cluster{
-		t: t, log: newFakeLog(seed), rng: rand.New(rand.NewPCG(seed, 2)),
+		t: t, log: logtest.New(seed, testRetention), rng: rand.New(rand.NewPCG(seed, 2)),
 		nodes: make(map[model.HostID]*node), cut: make(map[[2]model.HostID]bool),
 		started: make(map[model.Zone]time.Time), texts: make(map[int64]string),
 	}
@@ -124,7 +125,7 @@
 func (c *cluster) start(p membership.Peer) *node {
 	n := &node{Peer: p, board: blackboard.New(), jobs: &recorder{}}
 	n.journal = journal.New(journal.Options{
-		Log: hostLog{c.log, p.Host}, Host: p.Host, Rand: c.rand, Retention: testRetention,
+		Log: c.log.For(p.Host), Host: p.Host, Rand: c.rand, Retention: testRetention,
 		AppendsPerSecond: func() float64 { return n.members.AppendShare() },
 	})
 	n.members = membership.New(membership.Options{
@@ -241,10 +242,10 @@
 }
 
 func (c *cluster) cutLog(z model.Zone) {
-	c.log.set(func() {
+	c.log.Set(func(f *logtest.Faults) {
 		for _, p := range c.peers {
 			if p.Zone == z {
-				c.log.cut[p.Host] = true
+				f.Cut[p.Host] = true
 			}
 		}
 	})
@@ -254,10 +255,7 @@
 	c.mu.Lock()
 	c.cut = make(map[[2]model.HostID]bool)
 	c.mu.Unlock()
-	c.log.set(func() {
-		c.log.cut = make(map[model.HostID]bool)
-		c.log.down, c.log.silent = false, false
-	})
+	c.log.Heal()
 }
 
 // link is the peer network from one host to another.
--- a/internal/statetest/config_test.go
+++ b/internal/statetest/config_test.go
@@ -131,7 +131,7 @@
 		if _, err := n.sync.Publish(context.Background(), "x", 0, []byte("{")); codeOf(err) != apierror.CodeBadInput {
 			t.Errorf("text that does not parse: %v", err)
 		}
-		if len(c.log.records["config"]) != 0 {
+		if c.log.Len("config") != 0 {
 			t.Error("a refused text reached the log")
 		}
 	})
--- a/internal/statetest/journal_test.go
+++ b/internal/statetest/journal_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/platform/logservice/logtest"
 )
 
 func jobRecord(id string) journal.Record {
@@ -34,8 +35,8 @@
 func lostAnswersRound(t *testing.T, seed uint64) {
 	c := newCluster(t, seed, 2)
 	defer c.close()
-	c.log.set(func() { c.log.lost, c.log.late, c.log.refused = 0.2, 0.1, 0.1 })
-	c.log.set(func() { c.log.latency = 200 * time.Millisecond })
+	c.log.Set(func(f *logtest.Faults) { f.Lost, f.Late, f.Refused = 0.2, 0.1, 0.1 })
+	c.log.Set(func(f *logtest.Faults) { f.Latency = 200 * time.Millisecond })
 	var mu sync.Mutex
 	recorded, refused := make(map[string]bool), make(map[string]bool)
 	var wg sync.WaitGroup
@@ -71,10 +72,10 @@
 			t.Errorf("seed %d: host %d applied another order", seed, i)
 		}
 	}
-	copies := len(c.log.records["jobs"])
-	t.Logf("seed %d: %d of 400 records in %d appends, copies in the log %d", seed, len(all), c.log.appends, copies)
-	if copies > len(all)+c.log.lateRecords {
-		t.Errorf("seed %d: %d copies of %d records, %d came late: a lost answer was not looked up", seed, copies, len(all), c.log.lateRecords)
+	copies := c.log.Len("jobs")
+	t.Logf("seed %d: %d of 400 records in %d appends, copies in the log %d", seed, len(all), c.log.Counts().Appends, copies)
+	if copies > len(all)+c.log.Counts().LateRecords {
+		t.Errorf("seed %d: %d copies of %d records, %d came late: a lost answer was not looked up", seed, copies, len(all), c.log.Counts().LateRecords)
 	}
 }
 
@@ -84,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, 2)
 		defer c.close()
-		begin, before := time.Now(), c.log.appends
+		begin, before := time.Now(), c.log.Counts().Appends
 		var wg sync.WaitGroup
 		body, _ := json.Marshal(string(make([]byte, 2000)))
 		for i := range 8000 {
@@ -98,10 +99,10 @@
 		}
 		wg.Wait()
 		took := time.Since(begin)
-		appends := c.log.appends - before
-		t.Logf("8000 records of 12 KB in %v: %d appends, at most %d bytes", took, appends, c.log.maxBytes)
-		if float64(appends) > 300*took.Seconds()+8*4 || c.log.maxBytes > journal.MaxAppendBytes {
-			t.Errorf("%d appends in %v, largest %d bytes", appends, took, c.log.maxBytes)
+		appends := c.log.Counts().Appends - before
+		t.Logf("8000 records of 12 KB in %v: %d appends, at most %d bytes", took, appends, c.log.Counts().MaxBytes)
+		if float64(appends) > 300*took.Seconds()+8*4 || c.log.Counts().MaxBytes > journal.MaxAppendBytes {
+			t.Errorf("%d appends in %v, largest %d bytes", appends, took, c.log.Counts().MaxBytes)
 		}
 	})
 }
@@ -113,7 +114,7 @@
 		c := newCluster(t, 1, 2)
 		defer c.close()
 		n := c.node(0)
-		c.log.set(func() { c.log.down = true })
+		c.log.Set(func(f *logtest.Faults) { f.Down = true })
 		time.Sleep(900 * time.Millisecond)
 		if !n.journal.State().Reachable {
 			t.Error("unreachable after less than 1 s")
@@ -133,14 +134,14 @@
 			})
 		}
 		time.Sleep(time.Second)
-		before, healed := c.log.appends, time.Now()
+		before, healed := c.log.Counts().Appends, time.Now()
 		c.heal()
 		wg.Wait()
-		if spread := c.log.lastAppend.Sub(healed); spread < 600*time.Millisecond || spread > 2*time.Second {
+		if spread := c.log.Counts().LastAppend.Sub(healed); spread < 600*time.Millisecond || spread > 2*time.Second {
 			t.Errorf("the appends of 8 hosts after the outage end after %v, want about 1 s of random waits", spread)
 		}
 		time.Sleep(100 * time.Millisecond)
-		if got := c.log.appends - before; got > 16 {
+		if got := c.log.Counts().Appends - before; got > 16 {
 			t.Errorf("%d appends for 200 records after the outage, want at most 2 a host", got)
 		}
 		if all := n.jobs.list(); len(all) != 200 || slices.Contains(all, "withdrawn") {
@@ -155,7 +156,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, 2)
 		defer c.close()
-		c.log.set(func() { c.log.down = true })
+		c.log.Set(func(f *logtest.Faults) { f.Down = true })
 		time.Sleep(2 * time.Second)
 		n := c.node(0)
 		records := []journal.StreamRecord{{Stream: journal.StreamJobs, Record: jobRecord("copied")}}
--- a/internal/statetest/race_test.go
+++ b/internal/statetest/race_test.go
@@ -12,6 +12,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
+	"github.com/daisyfold/daisyfold/internal/platform/logservice/logtest"
 )
 
 // edit is one operator's Publish call in the history.
@@ -121,7 +122,7 @@
 	c := newCluster(t, seed, 2)
 	defer c.close()
 	c.publishFirst()
-	c.log.set(func() { c.log.lost, c.log.late, c.log.refused = 0.15, 0.15, 0.1 })
+	c.log.Set(func(f *logtest.Faults) { f.Lost, f.Late, f.Refused = 0.15, 0.15, 0.1 })
 	o := &operators{c: c}
 	var wg sync.WaitGroup
 	for client := range 5 {
@@ -149,9 +150,9 @@
 		time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
 		switch rng.IntN(4) {
 		case 0:
-			c.log.set(func() { c.log.down = true })
+			c.log.Set(func(f *logtest.Faults) { f.Down = true })
 		case 1:
-			c.log.set(func() { c.log.silent = true })
+			c.log.Set(func(f *logtest.Faults) { f.Silent = true })
 		case 2:
 			c.cutLog(zoneNames[rng.IntN(len(zoneNames))])
 		case 3:
