Measure the footprint of one daemon of the design size

The command now runs one daemon with a shard of 300 workers and 1,500 tasks, 103 peers that exchange real heartbeats, a host list of 7,500 workers, a text of 76 organisations and 2,800 running jobs of other shards. Traffic is read from /proc/PID/io, which covers every socket.

--- a/cmd/daisyfold-load/main.go
+++ b/cmd/daisyfold-load/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -54,11 +55,28 @@
 	return run(func(ctx context.Context) (bool, error) { return load.Scenarios(ctx, options) })
 }
 
-type footprintCommand struct{ common }
+type footprintCommand struct {
+	common
+	Workers       int           `long:"workers" default:"300" description:"workers of the daemon's shard"`
+	Tasks         int           `long:"tasks" default:"1500" description:"running tasks on them"`
+	Listed        int           `long:"listed" default:"7500" description:"workers in the host list"`
+	Zones         int           `long:"zones" default:"13" description:"availability zones"`
+	Hosts         int           `long:"hosts" default:"8" description:"entry hosts in each zone"`
+	Jobs          int           `long:"jobs" default:"2800" description:"running jobs of other shards"`
+	Organisations int           `long:"organisations" default:"76" description:"organisations of the text"`
+	ConfigPerDay  int           `long:"config-per-day" default:"5700" description:"configuration changes a day of the deployment"`
+	JobsPerDay    int           `long:"jobs-per-day" default:"17000" description:"jobs a day of the deployment"`
+	Window        time.Duration `long:"window" default:"30s" description:"length of the measurement"`
+}
 
 // Execute implements flags.Commander.
 func (c *footprintCommand) Execute([]string) error {
-	return run(func(ctx context.Context) (bool, error) { return load.Footprint(ctx, c.options()) })
+	size := load.FootprintSize{
+		Workers: c.Workers, Tasks: c.Tasks, Listed: c.Listed, Zones: c.Zones, Hosts: c.Hosts, Jobs: c.Jobs,
+		Organisations: c.Organisations, ConfigPerDay: c.ConfigPerDay, JobsPerDay: c.JobsPerDay,
+		Window: c.Window,
+	}
+	return run(func(ctx context.Context) (bool, error) { return load.Footprint(ctx, c.options(), size) })
 }
 
 // errBroken is returned when the run ended and broke a promise; its details are
@@ -85,7 +103,7 @@
 		data       any
 	}{
 		{"demo", "run the demo", &demoCommand{}},
-		{"footprint", "measure the daemons' CPU, memory and control traffic", &footprintCommand{}},
+		{"footprint", "measure one daemon's CPU, memory and control traffic", &footprintCommand{}},
 		{"scenarios", "run the scenarios", &scenariosCommand{}},
 	}
 	for _, c := range commands {
--- a/internal/load/footprint.go
+++ b/internal/load/footprint.go
@@ -3,147 +3,150 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
+)
 
-	"github.com/daisyfold/daisyfold/internal/model"
+const (
+	// footprintWarmUp follows the start of the last task: connections, pools and the
+	// heap reach their steady state.
+	footprintWarmUp = 10 * time.Second
+	// footprintStart bounds the time until every task runs.
+	footprintStart = 20 * time.Second
+	// sampleInterval is the time between two readings of the resident memory, of
+	// which the highest counts.
+	sampleInterval = 500 * time.Millisecond
+	percent        = 100
+	bytesPerKB     = 1000
+	kbPerMB        = 1024
 )
 
+// The stated budget of one entry host (design page, section 2.3).
 const (
-	// footprintSettle lets the jobs start before the window, which then holds the
-	// steady state of renewals, heartbeats and reads.
-	footprintSettle = 8 * time.Second
-	footprintWindow = 30 * time.Second
-	// ticksPerSecond is the unit of the CPU times in /proc/PID/stat on Linux.
-	ticksPerSecond = 100
-	// designWorkers is the largest shard, the most that one daemon renews.
-	designWorkers = model.MaxShardWorkers
-	footprintJobs = 120
-	percent       = 100
+	budgetRSSMB       = 32
+	budgetCorePercent = 4.5
+	budgetControlKBs  = 20
 )
 
-// use is what a daemon used up to a moment.
-type use struct {
-	ticks   int64 // CPU time
-	rssKB   int64
-	traffic int64 // bytes of all control links, both ways
+// FootprintSize is the share of the design size that one daemon sees.
+type FootprintSize struct {
+	Workers int // of the daemon's own shard
+	Tasks   int // that run on them
+	Listed  int // workers in the platform's host list
+	Zones   int
+	Hosts   int // entry hosts in each zone
+	Jobs    int // running jobs of other shards in the jobs table
+	// Organisations of the operators' text.
+	Organisations int
+	// ConfigPerDay and JobsPerDay are those of the whole deployment.
+	ConfigPerDay, JobsPerDay int
+	Window            time.Duration
 }
 
-// Footprint measures the daemons' CPU, memory and control traffic with running
-// jobs and no requests: with the example's workers, and with 300 in each zone. It
-// prints one tab-separated line for each figure, of the daemon that uses most.
-func Footprint(ctx context.Context, o Options) (bool, error) {
-	for _, workers := range []int{0, designWorkers} {
-		if err := footprint(ctx, o, workers); err != nil {
-			return false, trace.Wrap(err)
-		}
-	}
-	return true, nil
-}
-
-// footprint measures one size; 0 workers stands for the example's own number.
-func footprint(ctx context.Context, o Options, workers int) error {
+// Footprint measures one daemon process against the emulator and peers that this
+// process plays, and reports whether it stays within the budget.
+func Footprint(ctx context.Context, o Options, size FootprintSize) (bool, error) {
 	dir, done, err := o.workDir()
 	if err != nil {
-		return trace.Wrap(err)
+		return false, trace.Wrap(err)
 	}
-	err = measure(ctx, o, dir, workers)
+	result, err := measureFootprint(ctx, o, size, dir)
 	done(err != nil)
-	return trace.Wrap(err)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	_, err = fmt.Fprintln(o.Out, result)
+	return result.withinBudget(), trace.Wrap(err)
 }
 
-func measure(ctx context.Context, o Options, dir string, workers int) error {
-	p, err := ExampleProfile(o.Examples, o.Example)
-	if err != nil {
-		return trace.Wrap(err)
+// footprintResult is what a daemon used in the window.
+type footprintResult struct {
+	rssMB, corePercent, controlKBs float64
+}
+
+// String returns the last line of the command.
+func (r footprintResult) String() string {
+	return fmt.Sprintf("footprint: rss_mb=%.1f core_percent=%.2f control_kb_s=%.1f", r.rssMB, r.corePercent, r.controlKBs)
+}
+
+func (r footprintResult) withinBudget() bool {
+	return r.rssMB <= budgetRSSMB && r.corePercent <= budgetCorePercent && r.controlKBs <= budgetControlKBs
+}
+
+func measureFootprint(ctx context.Context, o Options, size FootprintSize, dir string) (footprintResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begin := time.Now()
+	s, err := startFootprint(ctx, o, size, dir)
+	if s != nil {
+		defer s.stop()
 	}
-	cluster, err := StartCluster(ctx, ClusterOptions{
-		Bin: o.Bin, Dir: dir, Deployment: p.Deployment, Seed: o.Seed, Proxies: true, WorkersPerZone: workers,
-	})
 	if err != nil {
-		return trace.Wrap(err)
+		return footprintResult{}, trace.Wrap(err)
 	}
-	defer cluster.Stop()
-	c := newCallers(cluster)
-	if err := cluster.configure(ctx, c, p); err != nil {
-		return trace.Wrap(err)
+	progress(o, begin, "the daemon is ready")
+	if err := s.submit(ctx); err != nil {
+		return footprintResult{}, trace.Wrap(err)
 	}
-	work, stop := context.WithCancel(ctx)
-	size := Size{Jobs: footprintJobs, Over: time.Second, MinRunMS: 600_000, MaxRunMS: 600_000}
-	finished := make(chan struct{})
-	go func() {
-		defer close(finished)
-		drive(work, c, NewWorkload(p, size, "footprint", o.Seed), newRecorder())
-	}()
-	pause(ctx, footprintSettle)
-	before, err := cluster.use()
-	if err != nil {
-		stop()
-		return trace.Wrap(err)
+	reach, stop := context.WithTimeout(ctx, footprintStart)
+	defer stop()
+	if err := s.awaitTasks(reach); err != nil {
+		return footprintResult{}, trace.Wrap(err)
 	}
-	pause(ctx, footprintWindow)
-	after, err := cluster.use()
-	stop()
-	<-finished
+	progress(o, begin, "%d tasks run on %d workers", size.Tasks, size.Workers)
+	go s.playOthers(ctx)
+	pause(ctx, footprintWarmUp)
+	result, err := s.window(ctx)
 	if err != nil {
-		return trace.Wrap(err)
+		return footprintResult{}, trace.Wrap(err)
 	}
-	return printFootprint(o, workers, before, after)
+	progress(o, begin, "the window ended; the log has configuration version %d", s.others.version)
+	return result, trace.Wrap(s.checkReached(ctx))
 }
 
-// use returns what each running daemon used so far.
-func (c *Cluster) use() (map[model.HostID]use, error) {
-	all := map[model.HostID]use{}
-	for _, h := range c.hosts {
-		one, err := processUse(h.current().cmd.Process.Pid)
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		one.traffic = c.links.traffic(string(h.id))
-		all[h.id] = one
+// window measures from now on for the window's length.
+func (s *footprintSetup) window(ctx context.Context) (footprintResult, error) {
+	pid := s.daemon().cmd.Process.Pid
+	linksBefore, err := s.linkBytes(ctx)
+	if err != nil {
+		return footprintResult{}, trace.Wrap(err)
 	}
-	return all, nil
-}
-
-// processUse reads the CPU time and the resident memory of a process.
-func processUse(pid int) (use, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	before, err := processUse(pid)
 	if err != nil {
-		return use{}, trace.ConvertSystemError(err)
+		return footprintResult{}, trace.Wrap(err)
+	}
+	start := time.Now()
+	// A list change is too rare for the window, so that one is part of it.
+	if err := s.changeList(ctx, true); err != nil {
+		return footprintResult{}, trace.Wrap(err)
 	}
-	// The fields after the name in parentheses: state is field 3, user and system
-	// time are fields 14 and 15, the resident pages field 24.
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	var numbers [3]int64
-	for i, field := range []int{14, 15, 24} {
-		numbers[i], err = strconv.ParseInt(fields[field-3], 10, 64)
+	highest := int64(0)
+	var after use
+	for time.Since(start) < s.size.Window && ctx.Err() == nil {
+		pause(ctx, sampleInterval)
+		after, err = processUse(pid)
 		if err != nil {
-			return use{}, trace.Wrap(err)
+			return footprintResult{}, trace.Wrap(err)
 		}
+		highest = max(highest, after.rssKB)
 	}
-	return use{ticks: numbers[0] + numbers[1], rssKB: numbers[2] * int64(os.Getpagesize()) / 1024}, nil
-}
-
-// printFootprint prints the highest figure of any daemon.
-func printFootprint(o Options, workers int, before, after map[model.HostID]use) error {
-	var cpu, rss, traffic float64
-	seconds := footprintWindow.Seconds()
-	for id, b := range before {
-		a := after[id]
-		cpu = max(cpu, float64(a.ticks-b.ticks)/ticksPerSecond/seconds*percent)
-		rss = max(rss, float64(a.rssKB)/1024)
-		traffic = max(traffic, float64(a.traffic-b.traffic)/1000/seconds)
+	seconds := time.Since(start).Seconds()
+	linksAfter, err := s.linkBytes(ctx)
+	if err != nil {
+		return footprintResult{}, trace.Wrap(err)
+	}
+	result := footprintResult{
+		rssMB:       float64(highest) / kbPerMB,
+		corePercent: float64(after.ticks-before.ticks) / ticksPerSecond / seconds * percent,
+		controlKBs:  float64(after.traffic-before.traffic) / bytesPerKB / seconds,
 	}
-	size := "today"
-	if workers > 0 {
-		size = fmt.Sprintf("%d_workers", workers)
+	rest := result.controlKBs
+	for _, name := range linkNames {
+		rate := float64(linksAfter[name]-linksBefore[name]) / bytesPerKB / seconds
+		rest -= rate
+		_, _ = fmt.Fprintf(s.options.Out, "control_%s\t%.2f\tKB/s\n", name, rate)
 	}
-	_, err := fmt.Fprintf(o.Out, "cpu_%s\t%.2f\t%% of a core\nmemory_%s\t%.1f\tMB\ncontrol_traffic_%s\t%.1f\tKB/s\n",
-		size, cpu, size, rss, size, traffic)
-	return trace.Wrap(err)
+	_, err = fmt.Fprintf(s.options.Out, "control_peers\t%.2f\tKB/s\n", rest)
+	return result, trace.Wrap(err)
 }
--- a/internal/load/links.go
+++ b/internal/load/links.go
@@ -90,19 +90,6 @@
 	return n
 }
 
-// traffic returns the bytes of all links that begin or end at a host.
-func (l *links) traffic(id string) int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sum := int64(0)
-	for _, one := range l.all {
-		if one.from == id || one.to == id {
-			sum += one.proxy.Bytes()
-		}
-	}
-	return sum
-}
-
 func (l *links) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/membership/owner.go
+++ b/internal/membership/owner.go
@@ -10,15 +10,24 @@
 // leaving with the highest rendezvous hash. It is false if there is none. Two hosts
 // may disagree for seconds; the workers' fencing tokens decide between them.
 func (m *Membership) Owner(shard model.ShardID) (model.HostID, bool) {
-	var best model.HostID
-	var bestHash uint64
+	var live []model.HostID
 	for _, x := range m.opts.Members.List() {
-		if x.Zone != shard.Zone || !x.Alive || x.Leaving {
-			continue
+		if x.Zone == shard.Zone && x.Alive && !x.Leaving {
+			live = append(live, x.Host)
 		}
-		h := xxhash.Sum64String(string(x.Host) + "\x00" + shard.String())
+	}
+	return Highest(shard, live)
+}
+
+// Highest returns the host with the highest rendezvous hash of a shard. It is false
+// without hosts.
+func Highest(shard model.ShardID, hosts []model.HostID) (model.HostID, bool) {
+	var best model.HostID
+	var bestHash uint64
+	for _, host := range hosts {
+		h := xxhash.Sum64String(string(host) + "\x00" + shard.String())
 		if best == "" || h > bestHash {
-			best, bestHash = x.Host, h
+			best, bestHash = host, h
 		}
 	}
 	return best, best != ""
