Stream the host list and keep copies between passes

Cause: one change of a list of 7,500 workers cost 1.5 MB of traffic and several megabytes of buffers; each member change split all workers into shards; each pass of a shard copied 1,500 tasks twice; each heartbeat sorted the member table.

--- a/cmd/daisyfoldd/profile.go
+++ b/cmd/daisyfoldd/profile.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -12,11 +13,11 @@
 
 // The profiles cover the footprint command's window.
 const (
-	profileAfter = 30 * time.Second
-	profileFor   = 20 * time.Second
+	profileAfter = 15 * time.Second
+	profileFor   = 10 * time.Second
 )
 
-// A build with the tag profile writes cpu.pprof, heap.pprof and goroutine.txt to the
+// A build with the tag profile writes cpu.pprof, heap.pprof, memory.txt and goroutine.txt to the
 // directory that DAISYFOLD_PROFILE names. Other builds have no profiler.
 func init() {
 	dir := os.Getenv("DAISYFOLD_PROFILE")
@@ -37,6 +38,14 @@
 		time.Sleep(profileFor)
 		pprof.StopCPUProfile()
 	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	text := fmt.Sprintf("heap in use %d idle %d released %d stacks %d system %d live after GC %d\n",
+		stats.HeapInuse, stats.HeapIdle, stats.HeapReleased, stats.StackInuse, stats.Sys, stats.NextGC)
+	if status, err := os.ReadFile("/proc/self/status"); err == nil {
+		text += string(status)
+	}
+	_ = os.WriteFile(filepath.Join(dir, "memory.txt"), []byte(text), 0o600)
 	for name, file := range map[string]string{"allocs": "heap.pprof", "goroutine": "goroutine.txt"} {
 		out, err := os.Create(filepath.Join(dir, file))
 		if err != nil {
--- a/internal/jobs/limits.go
+++ b/internal/jobs/limits.go
@@ -29,7 +29,7 @@
 		return
 	}
 	l.list = list
-	l.all = planner.NewLimits(list.Workers)
+	l.all = nil
 	l.shards = nil
 	for _, sh := range partition.Split(list.Workers) {
 		l.shards = append(l.shards, shardLimits{shard: sh, limits: planner.NewLimits(sh.Workers)})
@@ -41,9 +41,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(list)
+	for i := range l.shards {
+		s := &l.shards[i]
+		if s.admits(spec) {
+			return nil
+		}
+	}
+	// The limits of all workers at once take a megabyte and name the cause of a
+	// refusal; they are read only for one.
+	if l.all == nil {
+		l.all = planner.NewLimits(list.Workers)
+	}
 	return l.all.Check(spec)
 }
 
+// admits reports whether the shard can run a job.
+func (s *shardLimits) admits(spec *model.JobSpec) bool {
+	inZone := spec.Zone == "" || spec.Zone == s.shard.ID.Zone
+	return inZone && s.limits.Check(spec) == nil
+}
+
 // feasible returns the shards that can run a job.
 func (l *limits) feasible(spec *model.JobSpec, list *hostlist.List) []partition.Shard {
 	l.mu.Lock()
@@ -52,8 +69,7 @@
 	var out []partition.Shard
 	for i := range l.shards {
 		s := &l.shards[i]
-		inZone := spec.Zone == "" || spec.Zone == s.shard.ID.Zone
-		if inZone && s.limits.Check(spec) == nil {
+		if s.admits(spec) {
 			out = append(out, s.shard)
 		}
 	}
--- a/internal/load/footprint.go
+++ b/internal/load/footprint.go
@@ -41,7 +41,7 @@
 	Organisations int
 	// ConfigPerDay and JobsPerDay are those of the whole deployment.
 	ConfigPerDay, JobsPerDay int
-	Window            time.Duration
+	Window                   time.Duration
 }
 
 // Footprint measures one daemon process against the emulator and peers that this
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -102,6 +102,7 @@
 	peers   map[model.HostID]*peerState
 	leaving bool
 	table   []blackboard.Member
+	scratch []blackboard.Member // room for the next table
 	turn    int
 }
 
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -1,8 +1,8 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,13 +93,31 @@
 // absorb stores a report. sent is when the answered request was sent, or the time
 // of arrival for a request.
 func (m *Membership) absorb(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
+	before := m.memberOf(p)
 	if !m.store(p, r, sent, called) {
 		return false
 	}
-	m.updateTable()
+	// At 104 hosts a report arrives every 10 ms, and few change the table.
+	if m.memberOf(p) != before {
+		m.updateTable()
+	}
 	return true
 }
 
+// memberOf returns the peer's entry in the member table as it should be now.
+func (m *Membership) memberOf(p *peerState) blackboard.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.member(p, m.opts.Now())
+}
+
+// member must be called with the lock held.
+func (m *Membership) member(p *peerState, now time.Time) blackboard.Member {
+	return blackboard.Member{
+		Host: p.Host, Zone: p.Zone, Alive: m.alive(p, now), Leaving: p.leaving || p.listLeaving,
+	}
+}
+
 func (m *Membership) store(p *peerState, r *peer.HostReport, sent time.Time, called bool) bool {
 	report := Report{
 		Host: p.Host, Zone: p.Zone, At: sent, AnsweredAt: sent, Called: called,
@@ -221,24 +239,23 @@
 	defer m.mu.Unlock()
 	m.readHostList()
 	now := m.opts.Now()
-	all := []blackboard.Member{{
+	all := append(m.scratch[:0], blackboard.Member{
 		Host: m.opts.Self.Host, Zone: m.opts.Self.Zone, Alive: true, Leaving: m.leaving,
-	}}
+	})
 	for id, p := range m.peers {
 		if p.learned && now.Sub(p.lastSeen) > forgetLearned {
 			delete(m.peers, id)
 			continue
 		}
-		all = append(all, blackboard.Member{
-			Host: p.Host, Zone: p.Zone, Alive: m.alive(p, now),
-			Leaving: p.leaving || p.listLeaving,
-		})
+		all = append(all, m.member(p, now))
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Host < all[j].Host })
+	slices.SortFunc(all, func(a, b blackboard.Member) int { return cmp.Compare(a.Host, b.Host) })
 	if slices.Equal(all, m.table) {
+		m.scratch = all
 		return
 	}
-	m.table = all
+	// The table is read without a lock, so its slice is never written again.
+	m.scratch, m.table = nil, all
 	m.opts.Members.Put(all)
 }
 
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -34,6 +34,17 @@
 	return out
 }
 
+// SplitZone returns the shards of one zone, sorted by index.
+func SplitZone(z model.Zone, workers []model.Worker) []Shard {
+	var own []model.Worker
+	for _, w := range workers {
+		if w.Zone == z {
+			own = append(own, w)
+		}
+	}
+	return splitZone(z, own)
+}
+
 func splitZone(z model.Zone, workers []model.Worker) []Shard {
 	sort.Slice(workers, func(i, j int) bool { return less(&workers[i], &workers[j]) })
 	var out []Shard
--- a/internal/platform/platformhttp/call.go
+++ b/internal/platform/platformhttp/call.go
@@ -51,6 +51,18 @@
 
 // Do makes the call. It returns an *UnsentError when no byte was sent.
 func Do(ctx context.Context, rt http.RoundTripper, c Call) (Answer, error) {
+	var answer Answer
+	err := Stream(ctx, rt, c, func(response *http.Response) error {
+		var err error
+		answer, err = readAnswer(response)
+		return err
+	})
+	return answer, err
+}
+
+// Stream makes the call and lets read consume the answer's body, which is closed
+// afterwards. It returns an *UnsentError when no byte was sent.
+func Stream(ctx context.Context, rt http.RoundTripper, c Call, read func(*http.Response) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -59,17 +71,17 @@
 	})
 	request, err := newRequest(ctx, c)
 	if err != nil {
-		return Answer{}, trace.Wrap(&UnsentError{Err: err})
+		return trace.Wrap(&UnsentError{Err: err})
 	}
 	response, err := rt.RoundTrip(request)
 	if err != nil && !connected.Load() {
-		return Answer{}, trace.Wrap(&UnsentError{Err: err})
+		return trace.Wrap(&UnsentError{Err: err})
 	}
 	if err != nil {
-		return Answer{}, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return readAnswer(response)
+	return trace.Wrap(read(response))
 }
 
 func newRequest(ctx context.Context, c Call) (*http.Request, error) {
--- a/internal/shard/link.go
+++ b/internal/shard/link.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,10 @@
 	handedOver bool
 	since      uint64
 	tasks      map[model.TaskID]workerlink.Task
+	// changes counts the changes of tasks. listed is the last copy of tasks, nil
+	// after a change.
+	changes uint64
+	listed  []workerlink.Task
 	// unrecorded holds the event numbers of final tasks that the journal does
 	// not cover yet; they must not be acknowledged.
 	unrecorded map[model.TaskID]uint64
@@ -116,6 +122,7 @@
 	l.mu.Lock()
 	l.held, l.token, l.since, l.failing = true, ans.Token, ans.Seq, time.Time{}
 	l.tasks = map[model.TaskID]workerlink.Task{}
+	l.taskChanged()
 	l.unrecorded = map[model.TaskID]uint64{}
 	for _, t := range ans.Tasks {
 		l.note(t, 1)
@@ -159,11 +166,28 @@
 // note stores a task's state. The caller holds l.mu.
 func (l *link) note(t workerlink.Task, seq uint64) {
 	l.tasks[t.ID] = t
+	l.taskChanged()
 	if t.State != workerlink.TaskRunning {
 		l.unrecorded[t.ID] = seq
 	}
 }
 
+// taskChanged drops the copy of the tasks. The caller holds l.mu.
+func (l *link) taskChanged() {
+	l.changes++
+	l.listed = nil
+}
+
+// listTasks returns the tasks in a slice that is never changed. A pass reads 1,500
+// tasks twice a second, so the copy is kept until one of them changes. The caller
+// holds l.mu.
+func (l *link) listTasks() []workerlink.Task {
+	if l.listed == nil && len(l.tasks) > 0 {
+		l.listed = slices.Collect(maps.Values(l.tasks))
+	}
+	return l.listed
+}
+
 // started adds the members of a start that the worker answered, because the event
 // of the renewal may arrive later and the gang would look incomplete until then.
 func (l *link) started(p *model.Placement, members []model.Member) {
@@ -174,6 +198,7 @@
 		if _, known := l.tasks[id]; known {
 			continue
 		}
+		l.taskChanged()
 		l.tasks[id] = workerlink.Task{
 			ID: id, Member: m, State: workerlink.TaskRunning, GangSize: len(p.Members),
 		}
@@ -199,6 +224,7 @@
 		gone := t.State != workerlink.TaskRunning || !l.held
 		if id.Job == job && id.Attempt == attempt && gone {
 			delete(l.tasks, id)
+			l.taskChanged()
 			delete(l.unrecorded, id)
 		}
 	}
@@ -242,18 +268,15 @@
 	lost     bool
 	token    model.Token
 	renewEnd time.Time
-	tasks    []workerlink.Task
+	tasks    []workerlink.Task // must not be changed
+	changes  uint64            // of tasks, so far
 	health   model.WorkerHealth
 }
 
 func (l *link) view() linkView {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := linkView{held: l.held, token: l.token, renewEnd: l.renewEnd}
-	v.tasks = make([]workerlink.Task, 0, len(l.tasks))
-	for _, t := range l.tasks {
-		v.tasks = append(v.tasks, t)
-	}
+	v := linkView{held: l.held, token: l.token, renewEnd: l.renewEnd, tasks: l.listTasks(), changes: l.changes}
 	v.lost = !l.failing.IsZero() && l.now().Sub(l.failing) > lostAfter
 	v.health = l.healthLocked()
 	return v
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -7,6 +7,7 @@
 	"github.com/daisyfold/daisyfold/internal/blackboard"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/partition"
+	"github.com/daisyfold/daisyfold/internal/platform/hostlist"
 )
 
 // Manager owns the shards that membership assigns to this host.
@@ -14,7 +15,10 @@
 	opts Options
 	ctx  context.Context
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// own are the shards of the own zone in the host list split.
+	split   *hostlist.List
+	own     []partition.Shard
 	shards  map[model.ShardID]*Shard
 	stopped bool
 }
@@ -62,10 +66,11 @@
 	if m.stopped {
 		return
 	}
-	for _, p := range partition.Split(list.Workers) {
-		if p.ID.Zone == m.opts.Zone {
-			m.assignOne(p)
-		}
+	if m.split != list {
+		m.split, m.own = list, partition.SplitZone(m.opts.Zone, list.Workers)
+	}
+	for _, p := range m.own {
+		m.assignOne(p)
 	}
 }
 
--- a/internal/shard/observe.go
+++ b/internal/shard/observe.go
@@ -8,27 +8,44 @@
 // observation is what the workers of the shard reported.
 type observation struct {
 	views map[model.WorkerID]linkView
-	// tasks holds the reported tasks by attempt and member index.
+	// tasks holds the reported tasks by attempt and member index. Observations
+	// share it, so it must not be changed.
 	tasks map[attemptKey]map[int]workerlink.Task
 	held  int // workers whose lease this host holds
 }
 
+// observe reads the links. Only the shard's pass calls it, which never runs twice at
+// the same time. The tasks of the last observation are used again when no link's
+// tasks changed: links stay for the life of the shard, so an equal sum of their
+// growing counts means that none changed.
 func (s *Shard) observe() *observation {
-	o := &observation{
-		views: map[model.WorkerID]linkView{},
-		tasks: map[attemptKey]map[int]workerlink.Task{},
-	}
-	for _, l := range s.allLinks() {
+	links := s.allLinks()
+	o := &observation{views: make(map[model.WorkerID]linkView, len(links))}
+	changes := uint64(len(links))
+	for _, l := range links {
 		v := l.view()
 		o.views[l.worker.ID] = v
+		changes += v.changes
 		if v.held {
 			o.held++
 		}
+	}
+	if s.observed == nil || s.observedAt != changes {
+		s.observed, s.observedAt = groupTasks(o.views), changes
+	}
+	o.tasks = s.observed
+	return o
+}
+
+// groupTasks returns the reported tasks by attempt and member index.
+func groupTasks(views map[model.WorkerID]linkView) map[attemptKey]map[int]workerlink.Task {
+	o := observation{tasks: map[attemptKey]map[int]workerlink.Task{}}
+	for _, v := range views {
 		for _, t := range v.tasks {
 			o.add(t)
 		}
 	}
-	return o
+	return o.tasks
 }
 
 func (o *observation) add(t workerlink.Task) {
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -20,6 +20,9 @@
 		s.noteWhy(waiting, why)
 		return
 	}
+	if len(waiting) == 0 {
+		return // the planner starts and preempts for waiting jobs only
+	}
 	snap := s.snapshot(o, ops, waiting)
 	result := planner.Decide(snap)
 	s.Jobs.AddReasons(result.Reasons)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -68,6 +68,10 @@
 	began   time.Time
 	handle  *controller.Handle
 	acquire chan struct{}
+	// observed are the tasks of the last observation and observedAt the changes that
+	// they cover. Only the shard's pass uses them.
+	observed   map[attemptKey]map[int]workerlink.Task
+	observedAt uint64
 
 	mu      sync.Mutex
 	links   map[model.WorkerID]*link
