--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -232,32 +232,38 @@
 	return p
 }
 
+// member returns the peer's entry in the member table. The lock must be held.
+func (m *Membership) member(p *peerState, now time.Time) blackboard.Member {
+	return blackboard.Member{
+		Host: p.Host, Zone: p.Zone, Alive: m.alive(p, now), Leaving: p.leaving || p.listLeaving,
+	}
+}
+
 // updateTable writes the member table when it changed.
 func (m *Membership) updateTable() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.readHostList()
 	now := m.opts.Now()
-	all := []blackboard.Member{{
+	all := append(m.scratch[:0], blackboard.Member{
 		Host: m.opts.Self.Host, Zone: m.opts.Self.Zone, Alive: true, Leaving: m.leaving,
-	}}
+	})
 	for _, p := range m.sortedPeers() {
 		if p.learned && now.Sub(p.lastSeen) > forgetLearned {
 			delete(m.peers, p.Host)
 			m.sorted = nil
 			continue
 		}
-		all = append(all, blackboard.Member{
-			Host: p.Host, Zone: p.Zone, Alive: m.alive(p, now),
-			Leaving: p.leaving || p.listLeaving,
-		})
+		all = append(all, m.member(p, now))
 	}
 	// The peers are in order, so this only moves the host itself to its place.
 	slices.SortFunc(all, func(a, b blackboard.Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	if slices.Equal(all, m.table) {
+		m.scratch = all
 		return
 	}
-	m.table = all
+	// The table is read without a lock, so its slice is never written again.
+	m.scratch, m.table = nil, all
 	m.opts.Members.Put(all)
 }
 
