Check lease histories with porcupine

Cause: the fencing of workers carries the safety of shards, and only end states were checked. Change: the shard tests record every answered call to a worker but renewals and check them against a model of the lease. Conclusion: a call with an old token is never accepted in the tested faults.

--- a/internal/shard/harness_test.go
+++ b/internal/shard/harness_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/blackboard"
@@ -163,7 +164,9 @@
 	if err := h.step(r.Context(), path.Base(r.URL.Path)); err != nil {
 		return nil, err
 	}
-	return emulator.Transport(h.world.emulator.Handler()).RoundTrip(r)
+	return h.world.leases.record(int(h.id[1]), r, func() (*http.Response, error) {
+		return emulator.Transport(h.world.emulator.Handler()).RoundTrip(r)
+	})
 }
 
 // world is a zone with workers and two entry hosts.
@@ -174,6 +177,7 @@
 	log      *memoryLog
 	hosts    []*host
 	history  judge.History
+	leases   *leaseHistory
 
 	mu         sync.Mutex
 	owner      model.HostID
@@ -186,6 +190,7 @@
 	d := emulator.Default()
 	d.Zones = []emulator.Zone{{Name: testZone, Workers: workers}}
 	w := &world{t: t, emulator: emulator.New(d, "http://platform"), owner: "h1"}
+	w.leases = &leaseHistory{ops: map[string][]porcupine.Operation{}}
 	w.log = &memoryLog{seen: map[string]bool{}, tables: map[model.HostID]*jobs.Table{}}
 	w.workers = w.listWorkers()
 	for i := range 2 {
@@ -312,6 +317,7 @@
 	for _, f := range v.Findings {
 		w.t.Error(f)
 	}
+	w.leases.check(w.t)
 	w.close()
 }
 
--- /dev/null
+++ b/internal/shard/lease_test.go
@@ -0,0 +1,115 @@
+package shard
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"path"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+)
+
+// leaseCall is one call to a worker as its host saw it.
+type leaseCall struct {
+	path  string
+	token model.Token // of the call; for an acquisition, of the answer
+	code  workerlink.Code
+}
+
+// leaseState is a worker's lease.
+type leaseState struct {
+	token model.Token
+	held  bool
+}
+
+// leaseModel says which answers a worker may give: it accepts a token only while
+// that is the one of its last acquisition and the lease was not released.
+var leaseModel = porcupine.Model{
+	Init: func() any { return leaseState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, c := state.(leaseState), input.(leaseCall)
+		current := s.held && c.token == s.token
+		switch {
+		case c.path == workerlink.PathAcquire:
+			return c.token == s.token+1, leaseState{token: c.token, held: true}
+		case c.code == workerlink.CodeFenced:
+			return !current, s
+		case c.path == workerlink.PathRelease:
+			return current, leaseState{token: s.token}
+		default:
+			return current, s
+		}
+	},
+}
+
+// leaseHistory records the answered calls of all hosts to each worker.
+type leaseHistory struct {
+	mu  sync.Mutex
+	ops map[string][]porcupine.Operation
+}
+
+// record sends a call and notes it if it was answered. A renewal is left out: it
+// takes effect at two moments, when it arrives and when it is answered.
+func (h *leaseHistory) record(client int, r *http.Request, send func() (*http.Response, error)) (*http.Response, error) {
+	body, err := readBody(&r.Body)
+	if err != nil {
+		return nil, err
+	}
+	begin := time.Now().UnixNano()
+	resp, err := send()
+	name := "/" + path.Base(r.URL.Path)
+	if err != nil || name == workerlink.PathRenew {
+		return resp, err
+	}
+	answer, err := readBody(&resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	var call, reply struct {
+		Token model.Token     `json:"token"`
+		Code  workerlink.Code `json:"code"`
+	}
+	if json.Unmarshal(body, &call) != nil || json.Unmarshal(answer, &reply) != nil {
+		return resp, nil
+	}
+	c := leaseCall{path: name, token: call.Token, code: reply.Code}
+	if name == workerlink.PathAcquire {
+		c.token = reply.Token
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	worker := path.Dir(r.URL.Path)
+	h.ops[worker] = append(h.ops[worker], porcupine.Operation{
+		ClientId: client, Input: c, Call: begin, Return: time.Now().UnixNano(),
+	})
+	return resp, nil
+}
+
+// readBody reads a body and puts an equal one in its place.
+func readBody(body *io.ReadCloser) ([]byte, error) {
+	if *body == nil {
+		return nil, nil
+	}
+	data, err := io.ReadAll(*body)
+	*body = io.NopCloser(bytes.NewReader(data))
+	return data, err
+}
+
+// check fails the test if a worker's history does not fit the model.
+func (h *leaseHistory) check(t *testing.T) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for worker, ops := range h.ops {
+		if !porcupine.CheckOperations(leaseModel, ops) {
+			t.Errorf("the calls to %s do not fit its lease: %+v", worker, ops)
+		}
+	}
+}
