--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -251,7 +251,10 @@
 			change.AckMS = time.Now().UnixMilli()
 			return finish
 		}
-		_, next := settle(last)
+		reply, next := settle(last)
+		if reply == judge.ReplyUnknown {
+			next = another // changes are idempotent by id
+		}
 		return next
 	})
 	if last != nil {
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -58,6 +58,18 @@
 	return left
 }
 
+// inside returns callers that use only the named host or the hosts of a zone.
+func (s *scenario) inside(name string) *callers {
+	named := &callers{tries: callerTries, transport: s.callers.transport}
+	included := s.hostsOf([]string{name})
+	for _, h := range s.cluster.hosts {
+		if slices.Contains(included, h.id) {
+			named.hosts = append(named.hosts, h.api)
+		}
+	}
+	return named
+}
+
 // serviceShare sends requests and returns the share that is answered.
 func (s *scenario) serviceShare(n int, c *callers) float64 {
 	s.batches++
--- a/internal/load/workcommands.go
+++ b/internal/load/workcommands.go
@@ -81,14 +81,20 @@
 	return nil
 }
 
-// cmdZone takes a zone out or in: zone out|in ZONE.
+// cmdZone takes a zone out or in: zone out|in ZONE [at=HOST|ZONE]. The operator
+// asks any host, or only those named.
 func cmdZone(s *scenario, _ *testscript.TestScript, args []string) error {
-	if len(args) != 2 || (args[0] != "out" && args[0] != "in") {
-		return usage("zone out|in ZONE")
+	plain, named := splitArgs(args)
+	if len(plain) != 2 || (plain[0] != "out" && plain[0] != "in") {
+		return usage("zone out|in ZONE [at=HOST|ZONE]")
+	}
+	operator := s.callers
+	if at := named["at"]; at != "" {
+		operator = s.inside(at)
 	}
 	s.changes++
 	id := fmt.Sprintf("zone-change-%d", s.changes)
-	change, err := s.callers.setZone(s.ctx, id, model.Zone(args[1]), args[0] == "in")
+	change, err := operator.setZone(s.ctx, id, model.Zone(plain[1]), plain[0] == "in")
 	s.recorder.addZone(change)
 	return trace.Wrap(err)
 }
