--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -105,6 +105,7 @@
 	// startedAt is when Run was called.
 	startedAt time.Time
 	table     []blackboard.Member
+	scratch   []blackboard.Member // room for the next table
 	turn      int
 }
 
