Judge whether cancelled jobs run on

Cause: a cancelled job that is never stopped passed every check, because its run time was short. Change: the judge counts cancelled jobs with tasks more than 12.5 s after the acknowledged cancellation; cancelled jobs of the workload run for 30 s.

--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -40,6 +40,8 @@
 	Reply         Reply
 	// CancelAccepted is set when the caller was told that the job is cancelled.
 	CancelAccepted bool
+	// CancelMS is when the caller was told so, in milliseconds since 1970.
+	CancelMS int64
 	// State is the last state that the product reported, or empty.
 	State model.JobState
 }
--- a/internal/judge/jobs.go
+++ b/internal/judge/jobs.go
@@ -21,6 +21,10 @@
 	aloneLossMS = 12_500
 	// overlapMS bounds how long two attempts of one job overlap.
 	overlapMS = 3500
+	// ranOnMS bounds how long tasks of a job run after its cancellation was
+	// acknowledged: another host's planner may learn of it one renewal interval and
+	// one stop call later.
+	ranOnMS = 12_500
 )
 
 // attempt is one execution of an attempt of a job in the ledger. Two planners that
@@ -152,6 +156,7 @@
 		v.countJob(job, list)
 		v.checkPartial(job, list)
 		v.checkDuplicated(job, list)
+		v.checkCancelled(job, list)
 		delete(ran, job.Key)
 	}
 	for key, list := range ran {
@@ -219,6 +224,19 @@
 	}
 }
 
+// checkCancelled counts a job once when its tasks ran on after its cancellation.
+func (v *Verdict) checkCancelled(job Job, list []*attempt) {
+	if !job.CancelAccepted || job.CancelMS == 0 {
+		return
+	}
+	for _, a := range list {
+		if late := a.lastEnd() - job.CancelMS; late > ranOnMS {
+			v.broken(&v.Jobs.RanOn, KindRanOn, job.Key.String(), "attempt %d ran on for %d ms after the cancellation", a.number, late)
+			return
+		}
+	}
+}
+
 func completeAttempts(list []*attempt) int {
 	n := 0
 	for _, a := range list {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -50,6 +50,7 @@
 		{"withdrawn and completed", accepted, append(stopped(1, 0, 3000), whole(2, 3100, 9000)...), JobCounts{Completed: 1}},
 		{"refused", gang(ReplyNotRun, ""), nil, JobCounts{Refused: 1}},
 		{"cancelled", cancelled, stopped(1, 0, 9000), JobCounts{Cancelled: 1}},
+		{"cancelled but ran on", func() Job { j := cancelled; j.CancelMS = 1000; return j }(), stopped(1, 0, 14000), JobCounts{Cancelled: 1, RanOn: 1}},
 		{"never ran", gang(ReplyAccepted, model.JobWaiting), nil, JobCounts{Lost: 1}},
 		{"failed wrongly", gang(ReplyAccepted, model.JobFailed), whole(1, 0, 1000), JobCounts{Completed: 1, Lost: 1}},
 		{"refused but ran", gang(ReplyNotRun, ""), whole(1, 0, 1000), JobCounts{Refused: 1, Duplicated: 1}},
@@ -76,7 +77,7 @@
 			if v.Jobs != c.want {
 				t.Errorf("got %+v, want %+v; %v", v.Jobs, c.want, v.Findings)
 			}
-			broken := c.want.Lost + c.want.Duplicated + c.want.Partial
+			broken := c.want.Lost + c.want.Duplicated + c.want.Partial + c.want.RanOn
 			if v.Clean() != (broken == 0) {
 				t.Errorf("clean is %v with %d broken promises", v.Clean(), broken)
 			}
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -15,6 +15,7 @@
 	KindDuplicated Kind = "duplicated"
 	KindPartial    Kind = "partial"
 	KindLateStart  Kind = "late_start"
+	KindRanOn      Kind = "ran_on"    // tasks of a cancelled job
 	KindLateSend   Kind = "late_send" // a request sent to a target that was leaving
 )
 
@@ -32,7 +33,7 @@
 // cancelled, failed and unknown, and may count as broken in addition.
 type JobCounts struct {
 	Completed, Refused, Cancelled, Failed, Unknown int
-	Lost, Duplicated, Partial                      int
+	Lost, Duplicated, Partial, RanOn               int
 }
 
 // RequestCounts counts requests.
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -106,6 +106,7 @@
 	if job.fate == judge.FateCancel {
 		pause(ctx, job.cancelAfter)
 		record.CancelAccepted = c.cancel(ctx, record.Key)
+		record.CancelMS = time.Now().UnixMilli()
 	}
 	record.State = c.wait(ctx, record.Key)
 	return record
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -74,6 +74,9 @@
 
 const (
 	smallGang = 8
+	// cancelledRunMS is longer than the judge lets a cancelled job run on, so that
+	// one which is not stopped shows.
+	cancelledRunMS = 30_000
 	// prefix keeps the ids of two workloads on one deployment apart.
 	jobPrefix     = "job"
 	requestPrefix = "req"
@@ -136,7 +139,7 @@
 	case i < g.size.Impossible+g.size.Cancelled:
 		job.fate = judge.FateCancel
 		job.cancelAfter = time.Duration(200+g.random.IntN(1500)) * time.Millisecond
-		runMS = 6000
+		runMS = cancelledRunMS
 	}
 	job.request.Payload = api.NewOptString(payload(runMS))
 	return job
