Count members that finished during a withdrawal's later stops

A preemption then withdrew them: the stops that failed at first were repeated, but the finished members that the repeats reported were not counted, so both jobs ran again (duplicated=2). Change: withdraw adds the finished members of repeated stops and records no withdrawal when the whole gang finished. Figures: TestWithdrawAfterFinish fails without the change ('the job ran in 2 attempts') and passes with it; go test -race -count 3 ./internal/shard ok.

--- a/internal/shard/withdraw.go
+++ b/internal/shard/withdraw.go
@@ -25,9 +25,6 @@
 	p := e.Job.Placement
 	k := attemptKey{job: p.Job, attempt: p.Attempt}
 	result := s.stopMembers(ctx, k, placementWorkers(p), w.checkpoint)
-	if result.finished == len(p.Members) {
-		return // the whole gang finished before the stop reached it
-	}
 	for len(result.failed) > 0 && !w.neverStarted {
 		left := s.stillPossible(result.failed, p)
 		if len(left) == 0 {
@@ -39,6 +36,10 @@
 		}
 		more := s.stopMembers(ctx, k, left, false)
 		result.failed = more.failed
+		result.finished += more.finished
+	}
+	if result.finished == len(p.Members) {
+		return // the whole gang finished before the stops reached it
 	}
 	s.recordWithdrawn(ctx, e, w, result.servedMS)
 }
