Record in each member the guaranteed shapes that hold it

Cause: a matching of work and shapes derived anew in each plan can miss the one that was valid when the work started, so unused shapes no longer fit after other work ended. Change: members carry the positions of their shapes, and the book replays them.

--- a/internal/guarantee/book.go
+++ b/internal/guarantee/book.go
@@ -46,6 +46,9 @@
 // Book is the state of all guarantees on one shard.
 type Book struct {
 	table     *topology.Table
+	strategy  Strategy
+	byOrg     map[model.Organisation][]*instance
+	uncovered int // guaranteed gangs that lie in no shape
 	instances []*instance
 	work      [][]owned // guaranteed work by node
 	cells     [][]owned // bound cells by node
@@ -64,6 +67,9 @@
 	// Pinned are gangs outside a guarantee that must not be preempted; their
 	// cells cannot serve a guarantee.
 	Pinned func(gang int) bool
+	// First is the strategy to try first, that of an earlier Book of nearly the
+	// same state.
+	First Strategy
 }
 
 // gangWork is one guaranteed gang and its accelerators by node.
@@ -73,25 +79,58 @@
 	total int
 	since int64
 	parts []cell
+	hints [][]int // shapes recorded for each part, nil for a new gang
 }
 
 const extraGang = -1
 
+// Strategy is how work is matched with shapes, as a set of bits. No single greedy order
+// finds a packing whenever there is one, so NewBook tries all and keeps the best.
+type Strategy int
+
+const (
+	coverMost   Strategy = 1 << iota // the cell that covers most work, not the tightest
+	largeShapes                      // the largest shape first, not the closest in size
+	oldestGangs                      // the oldest gangs first, not the largest
+	strategies                       // the number of combinations
+)
+
 // NewBook binds the guaranteed work of the table to guaranteed shapes and packs the
 // shapes that are not in use.
 func NewBook(t *topology.Table, guarantees []model.Guarantee, o Options) *Book {
+	best := build(t, guarantees, o, o.First)
+	for s := range strategies {
+		if best.uncovered == 0 && best.Lost() == 0 {
+			break
+		}
+		b := build(t, guarantees, o, s)
+		if b.uncovered < best.uncovered ||
+			(b.uncovered == best.uncovered && b.Lost() < best.Lost()) {
+			best = b
+		}
+	}
+	return best
+}
+
+func build(t *topology.Table, guarantees []model.Guarantee, o Options, s Strategy) *Book {
 	b := &Book{
-		table: t, Within: make([]bool, len(t.Gangs)),
+		table: t, strategy: s, Within: make([]bool, len(t.Gangs)),
 		work: make([][]owned, len(t.Nodes)), cells: make([][]owned, len(t.Nodes)),
-		taken: make([]topology.Mask, len(t.Nodes)),
+		taken: make([]topology.Mask, len(t.Nodes)), byOrg: make(map[model.Organisation][]*instance),
 	}
 	b.expand(guarantees)
 	if len(b.instances) == 0 {
 		return b
 	}
 	gangs := b.collect(o.Extra)
+	var rest []*gangWork
 	for i := range gangs {
-		b.cover(&gangs[i])
+		if !b.replay(&gangs[i]) {
+			rest = append(rest, &gangs[i])
+		}
+	}
+	for _, w := range rest {
+		b.cover(w)
 	}
 	b.block(o.Pinned)
 	b.pack()
@@ -101,7 +140,9 @@
 func (b *Book) expand(guarantees []model.Guarantee) {
 	for _, g := range guarantees {
 		for range g.Shapes {
-			b.instances = append(b.instances, newInstance(g.Organisation, g.Shape))
+			in := newInstance(g.Organisation, g.Shape)
+			b.instances = append(b.instances, in)
+			b.byOrg[g.Organisation] = append(b.byOrg[g.Organisation], in)
 		}
 	}
 }
@@ -128,18 +169,23 @@
 	return in
 }
 
-// collect returns the guaranteed gangs, largest first and then oldest first.
+// collect returns the guaranteed gangs in the order of the strategy.
 func (b *Book) collect(extra *model.Placement) []gangWork {
 	var out []gangWork
 	for id := range b.table.Gangs {
 		if p := b.table.Gangs[id].Placement; p.Guaranteed {
-			out = append(out, b.gang(id, p))
+			if w := b.gang(id, p); len(w.parts) > 0 {
+				out = append(out, w)
+			}
 		}
 	}
 	if extra != nil {
 		out = append(out, b.gang(extraGang, extra))
 	}
 	slices.SortStableFunc(out, func(x, y gangWork) int {
+		if b.strategy&oldestGangs != 0 {
+			return cmp.Compare(x.since, y.since)
+		}
 		return cmp.Or(cmp.Compare(y.total, x.total), cmp.Compare(x.since, y.since))
 	})
 	return out
@@ -155,6 +201,7 @@
 		}
 		w.total += mask.Count()
 		w.parts = append(w.parts, cell{node, mask})
+		w.hints = append(w.hints, p.Members[m].Shapes)
 		add(&b.work[node], w.org, mask)
 	}
 	return w
--- a/internal/guarantee/query.go
+++ b/internal/guarantee/query.go
@@ -20,14 +20,19 @@
 	return n
 }
 
+// Strategy returns the strategy that built the book, for Options.First.
+func (b *Book) Strategy() Strategy { return b.strategy }
+
 // Open returns the accelerators of an organisation's shapes that hold no guaranteed
 // work and fit the hardware.
 func (b *Book) Open(org model.Organisation) int {
 	n := 0
-	for _, in := range b.instances {
-		if in.org == org && !in.unfit {
-			n += in.total()
+	for _, in := range b.byOrg[org] {
+		if in.unfit {
+			n += in.size * len(in.bound)
+			continue
 		}
+		n += in.total()
 	}
 	for _, list := range b.work {
 		n -= maskOf(list, org).Count()
@@ -39,10 +44,7 @@
 // bound cells and the cells chosen for open shapes.
 func (b *Book) Cells(org model.Organisation) []topology.Mask {
 	out := make([]topology.Mask, len(b.table.Nodes))
-	for _, in := range b.instances {
-		if in.org != org {
-			continue
-		}
+	for _, in := range b.byOrg[org] {
 		for _, c := range in.bound {
 			out[c.node] |= c.mask
 		}
@@ -65,12 +67,7 @@
 
 // Has reports whether the organisation has a guarantee on the shard.
 func (b *Book) Has(org model.Organisation) bool {
-	for _, in := range b.instances {
-		if in.org == org {
-			return true
-		}
-	}
-	return false
+	return len(b.byOrg[org]) > 0
 }
 
 // shapeKey groups equal shapes of one organisation.
@@ -116,3 +113,14 @@
 	}
 	return out
 }
+
+// Unused returns the shapes that hold no guaranteed work and fit the hardware.
+func (b *Book) Unused() []model.Guarantee {
+	var out []model.Guarantee
+	for _, in := range b.instances {
+		if len(in.bound) == 0 && !in.unfit {
+			out = append(out, model.Guarantee{Organisation: in.org, Shape: in.shape, Shapes: 1})
+		}
+	}
+	return out
+}
--- a/internal/model/worker.go
+++ b/internal/model/worker.go
@@ -43,6 +43,11 @@
 	Worker       WorkerID  `json:"worker"`
 	Accelerators []int     `json:"accelerators,omitempty"` // indices on the worker, ascending
 	Resources    Resources `json:"resources"`
+	// Shapes are the organisation's guaranteed shapes that hold the accelerators,
+	// as positions in its list of guarantees on the shard with each shape counted
+	// apart. The planner sets them; without them it derives them again, which can
+	// miss a matching.
+	Shapes []int `json:"shapes,omitempty"`
 }
 
 // Placement is the whole gang of one attempt of a job.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -25,6 +25,9 @@
 	// job is urgent: a stopped gang leaves its other accelerators idle and is hard
 	// to place again.
 	victimRatio = 4
+	// higherPriority is how many times dearer it is to reclaim work of a higher
+	// priority; a guarantee may do so, but only as the last resort.
+	higherPriority = 100
 	// smallVictim is how many times smaller than an aged gang a victim must be to
 	// give way without having run for a while.
 	smallVictim = 4
@@ -121,7 +124,7 @@
 }
 
 // keepsGuarantees reports whether the place lies within the organisation's guarantee
-// and leaves room for all other guaranteed shapes.
+// and leaves room for all other guaranteed shapes. It records the shapes in the members.
 func (p *planning) keepsGuarantees(it *queue.Item, found *placement.Result) bool {
 	extra := &model.Placement{Job: it.Job.Spec.Key, Members: found.Members, Guaranteed: true}
 	extra.StartedUnixMS = math.MaxInt64
@@ -134,6 +137,7 @@
 			return false
 		}
 	}
+	after.Record(it.Job.Spec.Key.Organisation, found.Members)
 	return true
 }
 
@@ -239,10 +243,14 @@
 			return 0, true
 		}
 		g := &p.table.Gangs[gang]
-		if p.book.Within[gang] || g.Priority > it.Priority && g.Job.Organisation == it.Job.Spec.Key.Organisation {
+		if p.book.Within[gang] {
 			return 0, false
 		}
-		return reclaim.LostWork(g, p.snap.Now), true
+		cost := reclaim.LostWork(g, p.snap.Now)
+		if g.Priority > it.Priority {
+			cost *= higherPriority
+		}
+		return cost, true
 	}
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -23,6 +23,7 @@
 	used       map[model.Organisation]int // accelerators in the whole deployment
 	levels     []int                      // by running gang, -1 until computed
 	lefts      []time.Duration            // by running gang, -1 until computed
+	fixed      map[int]bool               // new gangs that must not be preempted
 	stopping   map[int]bool               // gangs that stop already or in this plan
 	held       []topology.Mask            // promised to jobs that wait for victims
 	head       *queue.Item                // the first gang that does not fit
@@ -82,7 +83,7 @@
 	p := &planning{
 		snap: s, out: &Plan{}, table: topology.New(s.Workers, s.Running), running: len(s.Running),
 		estimates: queue.NewEstimates(s.History), orgs: make(map[model.Organisation]*Organisation),
-		used: make(map[model.Organisation]int), stopping: make(map[int]bool),
+		used: make(map[model.Organisation]int), stopping: make(map[int]bool), fixed: make(map[int]bool),
 		held: make([]topology.Mask, len(s.Workers)), promised: make([]topology.Mask, len(s.Workers)),
 		promises: make(map[*model.Job][]topology.Mask),
 		decided:  make(map[*model.Job]bool), failed: make(map[attemptKey]bool),
@@ -124,12 +125,16 @@
 }
 
 func (p *planning) newBook(extra *model.Placement) *guarantee.Book {
-	return guarantee.NewBook(p.table, p.snap.Guarantees, guarantee.Options{Extra: extra, Pinned: p.pinned})
+	o := guarantee.Options{Extra: extra, Pinned: p.pinned}
+	if p.book != nil {
+		o.First = p.book.Strategy()
+	}
+	return guarantee.NewBook(p.table, p.snap.Guarantees, o)
 }
 
 // pinned reports whether a gang must not be preempted.
 func (p *planning) pinned(gang int) bool {
-	return p.snap.Pinned[p.table.Gangs[gang].Job]
+	return p.fixed[gang] || p.snap.Pinned[p.table.Gangs[gang].Job]
 }
 
 func (p *planning) reason(j *model.Job, code model.ReasonCode, detail string) {
@@ -245,10 +250,11 @@
 		Job: spec.Key, Attempt: it.Job.Attempt + 1, Shard: p.snap.Shard, Members: found.Members,
 		Guaranteed: guaranteed, Priority: spec.Priority, Class: spec.Class(),
 	}
-	p.table.Add(&start)
+	gang := p.table.Add(&start)
+	p.fixed[gang] = spec.NonRepeatable
 	p.used[spec.Key.Organisation] += spec.Accelerators()
 	p.shares.Charge(spec.Key.Organisation, max(spec.Accelerators(), 1))
-	if guaranteed || len(found.Clear) > 0 {
+	if guaranteed || spec.NonRepeatable || len(found.Clear) > 0 {
 		p.book = p.newBook(nil)
 	}
 	if len(found.Clear) == 0 {
