--- a/internal/bench/jobs.go
+++ b/internal/bench/jobs.go
@@ -20,7 +20,9 @@
 	for _, d := range []*deployment{kerherve(), association()} {
 		out = append(out, mixFigures(d, uint64(seed))...)
 	}
-	return out
+	out = append(out, urgentFigure(uint64(seed)), zoneCycleFigure(uint64(seed)))
+	out = append(out, scaleFigures()...)
+	return append(out, reclaimFigures(seed)...)
 }
 
 // mixFigures runs a day of a deployment's job mix under the planner and the baseline.
--- a/internal/guarantee/book.go
+++ b/internal/guarantee/book.go
@@ -70,6 +70,9 @@
 	// First is the strategy to try first, that of an earlier Book of nearly the
 	// same state.
 	First Strategy
+	// Lost and Uncovered are what an earlier Book of nearly the same state had; a
+	// book that has no more is not improved further.
+	Lost, Uncovered int
 }
 
 // gangWork is one guaranteed gang and its accelerators by node.
@@ -100,7 +103,7 @@
 func NewBook(t *topology.Table, guarantees []model.Guarantee, o Options) *Book {
 	best := build(t, guarantees, o, o.First)
 	for s := range strategies {
-		if best.uncovered == 0 && best.Lost() == 0 {
+		if best.uncovered <= o.Uncovered && best.Lost() <= o.Lost {
 			break
 		}
 		b := build(t, guarantees, o, s)
--- a/internal/guarantee/cover.go
+++ b/internal/guarantee/cover.go
@@ -164,11 +164,13 @@
 	return max(in.open()-cells, 0)
 }
 
-// sizeGap orders shapes of equal cells: one already in use first, then the smallest
-// that holds the gang, then the largest.
+// sizeGap orders shapes of equal cells: an unused one of the gang's size first, then one
+// in use, then the smallest that holds the gang, then the largest.
 func sizeGap(in *instance, total int) int {
 	const larger = 1 << 20
 	switch {
+	case len(in.bound) == 0 && in.total() == total:
+		return -2
 	case len(in.bound) > 0:
 		return -1
 	case in.total() >= total:
--- a/internal/guarantee/query.go
+++ b/internal/guarantee/query.go
@@ -23,6 +23,9 @@
 // Strategy returns the strategy that built the book, for Options.First.
 func (b *Book) Strategy() Strategy { return b.strategy }
 
+// Uncovered returns the number of guaranteed gangs that lie in no shape.
+func (b *Book) Uncovered() int { return b.uncovered }
+
 // Open returns the accelerators of an organisation's shapes that hold no guaranteed
 // work and fit the hardware.
 func (b *Book) Open(org model.Organisation) int {
@@ -55,6 +58,27 @@
 	return out
 }
 
+// Choices returns the cells of each unused shape that holds the given number of
+// accelerators, smallest shape first.
+func (b *Book) Choices(org model.Organisation, accelerators int) [][]topology.Mask {
+	var open []*instance
+	for _, in := range b.byOrg[org] {
+		if len(in.bound) == 0 && !in.unfit && in.total() >= accelerators {
+			open = append(open, in)
+		}
+	}
+	sort.SliceStable(open, func(i, j int) bool { return open[i].total() < open[j].total() })
+	var out [][]topology.Mask
+	for _, in := range open {
+		masks := make([]topology.Mask, len(b.table.Nodes))
+		for _, c := range in.packed {
+			masks[c.node] |= c.mask
+		}
+		out = append(out, masks)
+	}
+	return out
+}
+
 // Outside returns for each node the accelerators that are not bound to other
 // organisations.
 func (b *Book) Outside(org model.Organisation) []topology.Mask {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -89,11 +89,15 @@
 }
 
 // tryWithin starts the job within its organisation's guarantee if a place is found. It
-// tries any place before the cells that the guarantee's open shapes hold, which always
-// keep the other guarantees whole.
+// tries any place, then the cells of all its shapes, then those of single shapes, which
+// always keep the other guarantees whole.
 func (p *planning) tryWithin(it *queue.Item, blocked []topology.Mask, cost placement.CostFunc) bool {
 	org := it.Job.Spec.Key.Organisation
-	for _, allowed := range [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)} {
+	choices := [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)}
+	if cost != nil {
+		choices = append(choices, p.book.Choices(org, it.Job.Spec.Accelerators())...)
+	}
+	for _, allowed := range choices {
 		r := p.request(it)
 		r.Allowed = allowed
 		r.Blocked = blocked
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -127,7 +127,7 @@
 func (p *planning) newBook(extra *model.Placement) *guarantee.Book {
 	o := guarantee.Options{Extra: extra, Pinned: p.pinned}
 	if p.book != nil {
-		o.First = p.book.Strategy()
+		o.First, o.Lost, o.Uncovered = p.book.Strategy(), p.book.Lost(), p.book.Uncovered()
 	}
 	return guarantee.NewBook(p.table, p.snap.Guarantees, o)
 }
