Order jobs by remaining run time alone

Cause: weighing run time by size left only large gangs in the queue, whose holes stayed idle. Change: levels follow the remaining time; work of the same priority is preempted only by jobs beyond the starvation bound.

--- a/internal/bench/jobs.go
+++ b/internal/bench/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"time"
 
@@ -109,6 +110,7 @@
 
 // measure returns the sorted run times of a function in milliseconds.
 func measure(runs int, f func(i int)) []float64 {
+	runtime.GC() // Garbage of earlier figures must not slow this one.
 	out := make([]float64, runs)
 	for i := range out {
 		begin := time.Now()
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -68,7 +68,7 @@
 	run := func(decide policy) float64 {
 		d := kerherve()
 		s := newSim(d, seed, decide)
-		s.add(flood(rand.New(rand.NewPCG(seed, 4)), d, 700, []int{1, 1, 2, 4, 8, 16, 32}))
+		s.add(flood(rand.New(rand.NewPCG(seed, 4)), d, 1500, []int{1, 1, 2, 4, 8, 16, 32}))
 		s.at(event{at: leaves, kind: eventZone, zone: 1})
 		s.at(event{at: returns, kind: eventZone, zone: 1})
 		s.measureFrom, s.until = leaves, ends
--- a/internal/defrag/defrag.go
+++ b/internal/defrag/defrag.go
@@ -61,23 +61,6 @@
 	return best
 }
 
-// Justified reports whether a gang of the given size gains more from starting now than
-// the moves lose, when it would otherwise wait for the given time.
-func Justified(lost float64, size int, wait time.Duration) bool {
-	return wait >= minGain && wait.Seconds()*float64(size) > margin*lost
-}
-
-// Room reports whether all gangs fit on free resources outside the place.
-func Room(t *topology.Table, place []topology.Mask, gangs []int) bool {
-	trial := t.Clone()
-	for _, gang := range gangs {
-		if !move(trial, place, gang) {
-			return false
-		}
-	}
-	return true
-}
-
 // move places a gang on free resources outside the place.
 func move(t *topology.Table, place []topology.Mask, gang int) bool {
 	g := &t.Gangs[gang]
--- a/internal/planner/head.go
+++ b/internal/planner/head.go
@@ -41,7 +41,7 @@
 			if p.head == nil {
 				p.head = it
 			}
-		case len(found.Clear) > 0 || it.Aged:
+		case len(found.Clear) > 0:
 			p.promise(it, found)
 		}
 	}
@@ -136,40 +136,6 @@
 	return p.lefts[gang]
 }
 
-// maxMoveTrials bounds the searches for moves in one plan.
-const maxMoveTrials = 4
-
-// placeByMoving clears a place whose gangs all have room elsewhere at once, when the
-// job's expected wait justifies the lost work. A job is expected to wait for about as
-// long as it has waited.
-func (p *planning) placeByMoving(it *queue.Item) bool {
-	if it.Size < model.WorkerAccelerators || p.moveTrials >= maxMoveTrials || it.Job.Spec.NonRepeatable {
-		return false
-	}
-	p.moveTrials++
-	found := reclaim.Find(p.table, p.request(it), func(gang int) (float64, bool) {
-		if p.stopping[gang] {
-			return 0, true
-		}
-		if gang >= p.running || !p.movable(it, gang) {
-			return 0, false
-		}
-		return reclaim.LostWork(&p.table.Gangs[gang], p.snap.Now), true
-	})
-	if found == nil || !defrag.Justified(found.Cost, it.Size, it.Waited-it.Attained) {
-		return false
-	}
-	place := union(p.blocked(it), p.masks(found.Members))
-	for i := range p.reserved {
-		place[i] |= p.reserved[i]
-	}
-	if !defrag.Room(p.table, place, found.Clear) {
-		return false
-	}
-	p.acceptAs(it, found, false, model.ReasonDefrag)
-	return true
-}
-
 // movable reports whether a gang may be stopped so that it starts again elsewhere.
 func (p *planning) movable(it *queue.Item, gang int) bool {
 	g := &p.table.Gangs[gang]
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -18,9 +18,6 @@
 	// logarithm of its run time.
 	minRun      = 5 * time.Minute
 	maxDoubling = 4
-	// levelGap is how many levels shorter a job must be to preempt work of its own
-	// priority: with a factor of 4 a level, at least 4 times less work.
-	levelGap = 2
 	// victimRatio bounds how much larger than the job a victim may be, unless the
 	// job is urgent: a stopped gang leaves its other accelerators idle and is hard
 	// to place again.
@@ -50,7 +47,7 @@
 	case searchGuaranteed:
 		k.org, k.priority = spec.Key.Organisation, it.Priority
 	case searchPreempt:
-		k.org, k.priority, k.level, k.aged = spec.Key.Organisation, it.Priority, it.Level, it.Aged
+		k.org, k.priority, k.aged = spec.Key.Organisation, it.Priority, it.Aged
 	}
 	return k
 }
@@ -147,7 +144,7 @@
 
 // placeSpare starts the job on spare capacity and gives its reason.
 func (p *planning) placeSpare(it *queue.Item) {
-	if p.placeFree(it) || p.placeByPreemption(it) || p.placeByMoving(it) {
+	if p.placeFree(it) || p.placeByPreemption(it) {
 		return
 	}
 	if it.Job.Spec.NonRepeatable {
@@ -259,7 +256,7 @@
 }
 
 // queueCost lets a job outside a guarantee preempt work of lower priority, and work
-// of its own priority that the discretised queues put well behind it.
+// of its own priority once it waited for longer than the starvation bound.
 func (p *planning) queueCost(it *queue.Item) placement.CostFunc {
 	return func(gang int) (float64, bool) {
 		if gang >= p.running || p.pinned(gang) {
@@ -290,7 +287,7 @@
 	if p.shielded(it, gang) {
 		return false
 	}
-	return g.Priority < it.Priority || it.Aged || p.level(gang) >= it.Level+levelGap
+	return g.Priority < it.Priority || it.Aged
 }
 
 // shielded reports whether a gang started too recently or is too large to be stopped
@@ -322,17 +319,6 @@
 	return p.snap.Now.Sub(time.UnixMilli(g.StartedUnixMS))
 }
 
-// level returns the discretised queue of a running gang.
-func (p *planning) level(gang int) int {
-	if p.levels[gang] < 0 {
-		g := &p.table.Gangs[gang]
-		size := gangSize(g.Placement)
-		attained := p.ran(g) + p.snap.Served[g.Job]
-		p.levels[gang] = queue.Level(p.estimates.Expected(g.Class, size, attained), size)
-	}
-	return p.levels[gang]
-}
-
 func gangSize(r *model.Placement) int {
 	if n := accelerators(r); n > 0 {
 		return n
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -12,28 +12,26 @@
 
 // planning is the state of one call of Decide.
 type planning struct {
-	snap       *Snapshot
-	out        *Plan
-	table      *topology.Table
-	running    int // the first gangs of the table run; later ones are new
-	book       *guarantee.Book
-	estimates  *queue.Estimates
-	shares     *queue.Shares
-	orgs       map[model.Organisation]*Organisation
-	used       map[model.Organisation]int // accelerators in the whole deployment
-	levels     []int                      // by running gang, -1 until computed
-	lefts      []time.Duration            // by running gang, -1 until computed
-	fixed      map[int]bool               // new gangs that must not be preempted
-	stopping   map[int]bool               // gangs that stop already or in this plan
-	held       []topology.Mask            // promised to jobs that wait for victims
-	head       *queue.Item                // the first gang that does not fit
-	reserved   []topology.Mask            // for the head gang, nil without one
-	promised   []topology.Mask            // to jobs that can have them soon
-	promises   map[*model.Job][]topology.Mask
-	moveTrials int
-	shadow     time.Duration // when the head gang can start
-	decided    map[*model.Job]bool
-	failed     map[attemptKey]bool
+	snap      *Snapshot
+	out       *Plan
+	table     *topology.Table
+	running   int // the first gangs of the table run; later ones are new
+	book      *guarantee.Book
+	estimates *queue.Estimates
+	shares    *queue.Shares
+	orgs      map[model.Organisation]*Organisation
+	used      map[model.Organisation]int // accelerators in the whole deployment
+	lefts     []time.Duration            // by running gang, -1 until computed
+	fixed     map[int]bool               // new gangs that must not be preempted
+	stopping  map[int]bool               // gangs that stop already or in this plan
+	held      []topology.Mask            // promised to jobs that wait for victims
+	head      *queue.Item                // the first gang that does not fit
+	reserved  []topology.Mask            // for the head gang, nil without one
+	promised  []topology.Mask            // to jobs that can have them soon
+	promises  map[*model.Job][]topology.Mask
+	shadow    time.Duration // when the head gang can start
+	decided   map[*model.Job]bool
+	failed    map[attemptKey]bool
 }
 
 // attemptKey names a search that failed. Free resources only shrink during a plan, so
@@ -44,8 +42,7 @@
 	tasks  int
 	task   model.Resources
 	within model.Level
-	// level and priority decide whom the job may preempt.
-	level    int
+	// priority and aged decide whom the job may preempt.
 	priority model.Priority
 	aged     bool
 	pinned   bool
@@ -89,7 +86,6 @@
 		decided:  make(map[*model.Job]bool), failed: make(map[attemptKey]bool),
 	}
 	p.book = p.newBook(nil)
-	p.levels = make([]int, p.running)
 	p.lefts = make([]time.Duration, p.running)
 	weights := make(map[model.Organisation]int, len(s.Organisations))
 	for i := range s.Organisations {
@@ -107,7 +103,6 @@
 
 func (p *planning) countRunning(id int, r *model.Placement) {
 	n := accelerators(r)
-	p.levels[id] = -1
 	p.lefts[id] = -1
 	p.used[r.Job.Organisation] += n
 	p.shares.Charge(r.Job.Organisation, max(n, 1))
--- a/internal/queue/estimate.go
+++ b/internal/queue/estimate.go
@@ -62,19 +62,19 @@
 	return e.remaining(class, size, attained, quantileCautious)
 }
 
-// Level bounds and steps: levels are powers of levelFactor of accelerator-seconds,
-// because finer steps would preempt work for little gain.
+// Level bounds and steps: levels are powers of levelFactor of the remaining run time,
+// because finer steps would trust the estimates too much. The gang size does not count:
+// weighing it starves large gangs until only they are left and leave holes.
 const (
-	levelUnit   = 60 // accelerator-seconds of the lowest level
+	levelUnit   = 8 * time.Second // the lowest level
 	levelFactor = 4
 	// MaxLevel is the level of the longest work.
 	MaxLevel = 12
 )
 
-// Level returns the discretised queue of work with the given remaining run time on
-// the given number of accelerators.
-func Level(expected time.Duration, size int) int {
-	work := int64(expected/time.Second) * int64(max(size, 1)) / levelUnit
+// Level returns the discretised queue of work with the given remaining run time.
+func Level(expected time.Duration) int {
+	work := expected / levelUnit
 	level := 0
 	for work > 0 && level < MaxLevel {
 		work /= levelFactor
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -55,7 +55,7 @@
 		Waited:   now.Sub(time.UnixMilli(j.AcceptedUnixMS)),
 	}
 	expected := e.Expected(j.Spec.Class(), it.Size, it.Attained)
-	it.Level = Level(expected, it.Size)
+	it.Level = Level(expected)
 	it.Aged = it.Waited-it.Attained > starvationBase+starvationFactor*expected
 	if it.Priority == model.PriorityBatch && it.Waited > batchWait {
 		it.Priority = model.PriorityNormal
