--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -117,6 +117,9 @@
 // takes the cheapest slot each time.
 func (s *search) gather(domain []int, whole []int) *Result {
 	s.cleared = nil
+	if s.request.Tasks == 1 {
+		return s.single(whole)
+	}
 	queue := s.slots(domain, whole)
 	result := &Result{Members: make([]model.Member, 0, s.request.Tasks)}
 	for len(result.Members) < s.request.Tasks {
@@ -135,13 +138,39 @@
 	return result
 }
 
+// single places a gang of one task on the cheapest slot of all nodes.
+func (s *search) single(whole []int) *Result {
+	var best slot
+	found := false
+	for i := range s.table.Nodes {
+		s.reset(i, whole)
+		next, ok := s.evaluate(i)
+		if ok && (!found || next.before(&best)) {
+			best, found = next, true
+		}
+	}
+	if !found {
+		return nil
+	}
+	result := &Result{}
+	s.take(&best, result)
+	return result
+}
+
+func (s *search) reset(i int, whole []int) {
+	n := &s.table.Nodes[i]
+	s.state[i] = nodeState{
+		free: n.Free &^ s.blocked(i), cpus: n.CPUs, memory: n.MemoryMB, whole: whole[n.Rack],
+	}
+}
+
 func (s *search) slots(domain []int, whole []int) slotHeap {
 	queue := make(slotHeap, 0, max(len(domain), 16))
+	if domain == nil {
+		queue = make(slotHeap, 0, len(s.table.Nodes))
+	}
 	visit := func(i int) {
-		n := &s.table.Nodes[i]
-		s.state[i] = nodeState{
-			free: n.Free &^ s.blocked(i), cpus: n.CPUs, memory: n.MemoryMB, whole: whole[n.Rack],
-		}
+		s.reset(i, whole)
 		if next, ok := s.evaluate(i); ok {
 			queue = append(queue, next)
 		}
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -24,13 +24,18 @@
 func (h slotHeap) Len() int      { return len(h) }
 func (h slotHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 func (h slotHeap) Less(i, j int) bool {
-	if h[i].cost != h[j].cost {
-		return h[i].cost < h[j].cost
+	return h[i].before(&h[j])
+}
+
+// before reports whether a is the better slot.
+func (a *slot) before(b *slot) bool {
+	if a.cost != b.cost {
+		return a.cost < b.cost
 	}
-	if h[i].score != h[j].score {
-		return h[i].score < h[j].score
+	if a.score != b.score {
+		return a.score < b.score
 	}
-	return h[i].node < h[j].node
+	return a.node < b.node
 }
 
 // Push appends a slot; it implements heap.Interface.
--- a/internal/topology/table.go
+++ b/internal/topology/table.go
@@ -52,8 +52,12 @@
 		index: make(map[model.WorkerID]int, len(workers)),
 	}
 	racks := make(map[string]int)
+	// Most workers hold at most one task for each accelerator.
+	tasks := make([]Occupant, len(workers)*model.WorkerAccelerators)
 	for i := range workers {
 		t.addWorker(i, &workers[i], racks)
+		start := i * model.WorkerAccelerators
+		t.Nodes[i].Tasks = tasks[start : start : start+model.WorkerAccelerators]
 	}
 	for i := range running {
 		t.Add(&running[i])
