Let work use the guaranteed shape of its own size

Cause: small work took cells of a larger unused shape of its organisation, which could then not be claimed. Change: work uses an unused shape of exactly its size if there is one; a place in the cells of one shape is bound to that shape; checks within one plan keep the earlier packing.

--- a/internal/guarantee/book.go
+++ b/internal/guarantee/book.go
@@ -48,6 +48,7 @@
 	table     *topology.Table
 	strategy  Strategy
 	byOrg     map[model.Organisation][]*instance
+	previous  *Book
 	uncovered int // guaranteed gangs that lie in no shape
 	instances []*instance
 	work      [][]owned // guaranteed work by node
@@ -70,6 +71,8 @@
 	// First is the strategy to try first, that of an earlier Book of nearly the
 	// same state.
 	First Strategy
+	// Previous is a Book of the same guarantees and nearly the same state, or nil.
+	Previous *Book
 	// Lost and Uncovered are what an earlier Book of nearly the same state had; a
 	// book that has no more is not improved further.
 	Lost, Uncovered int
@@ -117,7 +120,7 @@
 
 func build(t *topology.Table, guarantees []model.Guarantee, o Options, s Strategy) *Book {
 	b := &Book{
-		table: t, strategy: s, Within: make([]bool, len(t.Gangs)),
+		table: t, strategy: s, previous: o.Previous, Within: make([]bool, len(t.Gangs)),
 		work: make([][]owned, len(t.Nodes)), cells: make([][]owned, len(t.Nodes)),
 		taken: make([]topology.Mask, len(t.Nodes)), byOrg: make(map[model.Organisation][]*instance),
 	}
--- a/internal/guarantee/pack.go
+++ b/internal/guarantee/pack.go
@@ -20,11 +20,16 @@
 // pack chooses cells for every open shape. Cells may hold work outside guarantees,
 // which is preempted when the shape is claimed.
 func (b *Book) pack() {
-	best := b.tryPack(byCell)
+	best := b.tryPack(byCell, false)
 	if best.lost > 0 {
 		// Large shapes of small cells can lose against small shapes of large
 		// cells; the opposite order finds those packings.
-		if other := b.tryPack(byTotal); other.lost < best.lost {
+		if other := b.tryPack(byTotal, false); other.lost < best.lost {
+			best = other
+		}
+	}
+	if best.lost > 0 && b.previous != nil {
+		if other := b.tryPack(byCell, true); other.lost < best.lost {
 			best = other
 		}
 	}
@@ -34,7 +39,9 @@
 	}
 }
 
-func (b *Book) tryPack(order func(a, b *instance) int) *packing {
+// tryPack packs in the given order. With keep, shapes first take the cells that they had
+// in the earlier Book, which is valid when the state differs by work in one shape.
+func (b *Book) tryPack(order func(a, b *instance) int, keep bool) *packing {
 	p := &packing{table: b.table, free: make([]topology.Mask, len(b.table.Nodes)), cells: make([][]cell, len(b.instances))}
 	for i := range b.table.Nodes {
 		if n := &b.table.Nodes[i]; n.Usable() && n.All != 0 {
@@ -49,7 +56,13 @@
 		}
 	}
 	slices.SortStableFunc(indices, func(x, y int) int { return order(b.instances[x], b.instances[y]) })
+	if keep {
+		b.keep(p)
+	}
 	for _, i := range indices {
+		if p.cells[i] != nil {
+			continue
+		}
 		p.cells[i] = p.place(b.instances[i])
 		if len(p.cells[i]) < b.instances[i].open() {
 			p.lost += b.instances[i].total()
@@ -58,6 +71,22 @@
 	return p
 }
 
+// keep gives open shapes the cells of the earlier Book where these are still free.
+func (b *Book) keep(p *packing) {
+	for i, in := range b.instances {
+		old := b.previous.instances[i].packed
+		if in.open() == 0 || len(old) != in.open() || slices.ContainsFunc(old, func(c cell) bool {
+			return c.mask&^p.free[c.node] != 0 || !b.inDomain(in, c.node)
+		}) {
+			continue
+		}
+		p.cells[i] = old
+		for _, c := range old {
+			p.free[c.node] &^= c.mask
+		}
+	}
+}
+
 // rank orders instances by how few places they have: those tied to a domain, then
 // those that need one worker, one rack, the zone.
 func rank(in *instance) int {
--- a/internal/guarantee/query.go
+++ b/internal/guarantee/query.go
@@ -1,7 +1,9 @@
 package guarantee
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/daisyfold/daisyfold/internal/finding"
@@ -58,24 +60,63 @@
 	return out
 }
 
-// Choices returns the cells of each unused shape that holds the given number of
-// accelerators, smallest shape first.
-func (b *Book) Choices(org model.Organisation, accelerators int) [][]topology.Mask {
-	var open []*instance
+// Wastes reports whether work of the given size uses another shape of its organisation up
+// although an unused shape has exactly that size. The organisation could then not claim
+// the other shape, although it uses less than its guarantee.
+func (b *Book) Wastes(after *Book, org model.Organisation, accelerators int) bool {
+	all, exact := b.countUnused(org, accelerators)
+	allAfter, exactAfter := after.countUnused(org, accelerators)
+	return exact > 0 && allAfter < all && exactAfter == exact
+}
+
+// countUnused returns the unused shapes of an organisation that fit the hardware, and how
+// many of them have the given size.
+func (b *Book) countUnused(org model.Organisation, accelerators int) (all, exact int) {
 	for _, in := range b.byOrg[org] {
-		if len(in.bound) == 0 && !in.unfit && in.total() >= accelerators {
-			open = append(open, in)
+		if len(in.bound) > 0 || in.unfit {
+			continue
+		}
+		all++
+		if in.shape.Accelerators() == accelerators {
+			exact++
 		}
 	}
-	sort.SliceStable(open, func(i, j int) bool { return open[i].total() < open[j].total() })
-	var out [][]topology.Mask
-	for _, in := range open {
-		masks := make([]topology.Mask, len(b.table.Nodes))
-		for _, c := range in.packed {
-			masks[c.node] |= c.mask
+	return all, exact
+}
+
+// Choice is one unused shape with the cells that are chosen for it.
+type Choice struct {
+	Cells   []topology.Mask // by node; nil means that no shape is chosen
+	ordinal int
+	size    int
+}
+
+// Bind notes in the members that the choice's shape holds them. Work in the cells chosen
+// for a shape must use that shape, or another shape can lose its place.
+func (c *Choice) Bind(members []model.Member) {
+	for i := range members {
+		cells := (len(members[i].Accelerators) + c.size - 1) / c.size
+		members[i].Shapes = slices.Repeat([]int{c.ordinal}, cells)
+	}
+}
+
+// Choices returns the unused shapes that hold the given number of accelerators, the
+// smallest first.
+func (b *Book) Choices(org model.Organisation, accelerators int) []Choice {
+	var out []Choice
+	for ordinal, in := range b.byOrg[org] {
+		if len(in.bound) > 0 || in.unfit || in.total() < accelerators {
+			continue
+		}
+		c := Choice{Cells: make([]topology.Mask, len(b.table.Nodes)), ordinal: ordinal, size: in.size}
+		for _, cell := range in.packed {
+			c.Cells[cell.node] |= cell.mask
 		}
-		out = append(out, masks)
+		out = append(out, c)
 	}
+	slices.SortStableFunc(out, func(x, y Choice) int {
+		return cmp.Compare(b.byOrg[org][x.ordinal].total(), b.byOrg[org][y.ordinal].total())
+	})
 	return out
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -90,23 +90,43 @@
 // always keep the other guarantees whole.
 func (p *planning) tryWithin(it *queue.Item, blocked []topology.Mask, cost placement.CostFunc) bool {
 	org := it.Job.Spec.Key.Organisation
-	choices := [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)}
-	if cost != nil {
-		choices = append(choices, p.book.Choices(org, it.Job.Spec.Accelerators())...)
-	}
-	for _, allowed := range choices {
-		r := p.request(it)
-		r.Allowed = allowed
-		r.Blocked = blocked
-		found := reclaim.Find(p.table, r, cost)
-		if found != nil && p.keepsGuarantees(it, found) {
-			p.accept(it, found, true)
+	for _, allowed := range [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)} {
+		if p.tryCells(it, blocked, cost, allowed, nil) {
+			return true
+		}
+	}
+	if cost == nil {
+		return false
+	}
+	for _, choice := range p.book.Choices(org, it.Job.Spec.Accelerators()) {
+		if p.tryCells(it, blocked, cost, choice.Cells, choice.Bind) {
 			return true
 		}
 	}
 	return false
 }
 
+// tryCells starts the job on the allowed cells. With bind, the place uses that shape.
+func (p *planning) tryCells(
+	it *queue.Item, blocked []topology.Mask, cost placement.CostFunc, allowed []topology.Mask, bind func([]model.Member),
+) bool {
+	r := p.request(it)
+	r.Allowed = allowed
+	r.Blocked = blocked
+	found := reclaim.Find(p.table, r, cost)
+	if found == nil {
+		return false
+	}
+	if bind != nil {
+		bind(found.Members)
+	}
+	if !p.keepsGuarantees(it, found) {
+		return false
+	}
+	p.accept(it, found, true)
+	return true
+}
+
 // fairShareOfWorker reports whether a task uses no more CPUs and memory than its
 // accelerators' share of the worker. Guaranteed work beyond that share could keep
 // another guarantee on the same worker from starting.
@@ -138,6 +158,9 @@
 			return false
 		}
 	}
+	if p.book.Wastes(after, it.Job.Spec.Key.Organisation, it.Job.Spec.Accelerators()) {
+		return false
+	}
 	after.Record(it.Job.Spec.Key.Organisation, found.Members)
 	return true
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -122,6 +122,7 @@
 func (p *planning) newBook(extra *model.Placement) *guarantee.Book {
 	o := guarantee.Options{Extra: extra, Pinned: p.pinned}
 	if p.book != nil {
+		o.Previous = p.book
 		o.First, o.Lost, o.Uncovered = p.book.Strategy(), p.book.Lost(), p.book.Uncovered()
 	}
 	return guarantee.NewBook(p.table, p.snap.Guarantees, o)
