--- a/internal/guarantee/query.go
+++ b/internal/guarantee/query.go
@@ -1,7 +1,9 @@
 package guarantee
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/daisyfold/daisyfold/internal/finding"
@@ -20,14 +22,22 @@
 	return n
 }
 
+// Strategy returns the strategy that built the book, for Options.First.
+func (b *Book) Strategy() Strategy { return b.strategy }
+
+// Uncovered returns the number of guaranteed gangs that lie in no shape.
+func (b *Book) Uncovered() int { return b.uncovered }
+
 // Open returns the accelerators of an organisation's shapes that hold no guaranteed
 // work and fit the hardware.
 func (b *Book) Open(org model.Organisation) int {
 	n := 0
-	for _, in := range b.instances {
-		if in.org == org && !in.unfit {
-			n += in.total()
+	for _, in := range b.byOrg[org] {
+		if in.unfit {
+			n += in.size * len(in.bound)
+			continue
 		}
+		n += in.total()
 	}
 	for _, list := range b.work {
 		n -= maskOf(list, org).Count()
@@ -39,10 +49,7 @@
 // bound cells and the cells chosen for open shapes.
 func (b *Book) Cells(org model.Organisation) []topology.Mask {
 	out := make([]topology.Mask, len(b.table.Nodes))
-	for _, in := range b.instances {
-		if in.org != org {
-			continue
-		}
+	for _, in := range b.byOrg[org] {
 		for _, c := range in.bound {
 			out[c.node] |= c.mask
 		}
@@ -53,6 +60,66 @@
 	return out
 }
 
+// Wastes reports whether work of the given size uses another shape of its organisation up
+// although an unused shape has exactly that size. The organisation could then not claim
+// the other shape, although it uses less than its guarantee.
+func (b *Book) Wastes(after *Book, org model.Organisation, accelerators int) bool {
+	all, exact := b.countUnused(org, accelerators)
+	allAfter, exactAfter := after.countUnused(org, accelerators)
+	return exact > 0 && allAfter < all && exactAfter == exact
+}
+
+// countUnused returns the unused shapes of an organisation that fit the hardware, and how
+// many of them have the given size.
+func (b *Book) countUnused(org model.Organisation, accelerators int) (all, exact int) {
+	for _, in := range b.byOrg[org] {
+		if len(in.bound) > 0 || in.unfit {
+			continue
+		}
+		all++
+		if in.shape.Accelerators() == accelerators {
+			exact++
+		}
+	}
+	return all, exact
+}
+
+// Choice is one unused shape with the cells that are chosen for it.
+type Choice struct {
+	Cells   []topology.Mask // by node; nil means that no shape is chosen
+	ordinal int
+	size    int
+}
+
+// Bind notes in the members that the choice's shape holds them. Work in the cells chosen
+// for a shape must use that shape, or another shape can lose its place.
+func (c *Choice) Bind(members []model.Member) {
+	for i := range members {
+		cells := (len(members[i].Accelerators) + c.size - 1) / c.size
+		members[i].Shapes = slices.Repeat([]int{c.ordinal}, cells)
+	}
+}
+
+// Choices returns the unused shapes that hold the given number of accelerators, the
+// smallest first.
+func (b *Book) Choices(org model.Organisation, accelerators int) []Choice {
+	var out []Choice
+	for ordinal, in := range b.byOrg[org] {
+		if len(in.bound) > 0 || in.unfit || in.total() < accelerators {
+			continue
+		}
+		c := Choice{Cells: make([]topology.Mask, len(b.table.Nodes)), ordinal: ordinal, size: in.size}
+		for _, cell := range in.packed {
+			c.Cells[cell.node] |= cell.mask
+		}
+		out = append(out, c)
+	}
+	slices.SortStableFunc(out, func(x, y Choice) int {
+		return cmp.Compare(b.byOrg[org][x.ordinal].total(), b.byOrg[org][y.ordinal].total())
+	})
+	return out
+}
+
 // Outside returns for each node the accelerators that are not bound to other
 // organisations.
 func (b *Book) Outside(org model.Organisation) []topology.Mask {
@@ -65,12 +132,7 @@
 
 // Has reports whether the organisation has a guarantee on the shard.
 func (b *Book) Has(org model.Organisation) bool {
-	for _, in := range b.instances {
-		if in.org == org {
-			return true
-		}
-	}
-	return false
+	return len(b.byOrg[org]) > 0
 }
 
 // shapeKey groups equal shapes of one organisation.
@@ -116,3 +178,14 @@
 	}
 	return out
 }
+
+// Unused returns the shapes that hold no guaranteed work and fit the hardware.
+func (b *Book) Unused() []model.Guarantee {
+	var out []model.Guarantee
+	for _, in := range b.instances {
+		if len(in.bound) == 0 && !in.unfit {
+			out = append(out, model.Guarantee{Organisation: in.org, Shape: in.shape, Shapes: 1})
+		}
+	}
+	return out
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -18,13 +18,13 @@
 	// logarithm of its run time.
 	minRun      = 5 * time.Minute
 	maxDoubling = 4
-	// levelGap is how many levels shorter a job must be to preempt work of its own
-	// priority: with a factor of 4 a level, at least 4 times less work.
-	levelGap = 2
 	// victimRatio bounds how much larger than the job a victim may be, unless the
 	// job is urgent: a stopped gang leaves its other accelerators idle and is hard
 	// to place again.
 	victimRatio = 4
+	// higherPriority is how many times dearer it is to reclaim work of a higher
+	// priority; a guarantee may do so, but only as the last resort.
+	higherPriority = 100
 	// smallVictim is how many times smaller than an aged gang a victim must be to
 	// give way without having run for a while.
 	smallVictim = 4
@@ -47,7 +47,7 @@
 	case searchGuaranteed:
 		k.org, k.priority = spec.Key.Organisation, it.Priority
 	case searchPreempt:
-		k.org, k.priority, k.level, k.aged = spec.Key.Organisation, it.Priority, it.Level, it.Aged
+		k.org, k.priority, k.aged = spec.Key.Organisation, it.Priority, it.Aged
 	}
 	return k
 }
@@ -86,23 +86,47 @@
 }
 
 // tryWithin starts the job within its organisation's guarantee if a place is found. It
-// tries any place before the cells that the guarantee's open shapes hold, which always
-// keep the other guarantees whole.
+// tries any place, then the cells of all its shapes, then those of single shapes, which
+// always keep the other guarantees whole.
 func (p *planning) tryWithin(it *queue.Item, blocked []topology.Mask, cost placement.CostFunc) bool {
 	org := it.Job.Spec.Key.Organisation
 	for _, allowed := range [][]topology.Mask{p.book.Outside(org), p.book.Cells(org)} {
-		r := p.request(it)
-		r.Allowed = allowed
-		r.Blocked = blocked
-		found := reclaim.Find(p.table, r, cost)
-		if found != nil && p.keepsGuarantees(it, found) {
-			p.accept(it, found, true)
+		if p.tryCells(it, blocked, cost, allowed, nil) {
+			return true
+		}
+	}
+	if cost == nil {
+		return false
+	}
+	for _, choice := range p.book.Choices(org, it.Job.Spec.Accelerators()) {
+		if p.tryCells(it, blocked, cost, choice.Cells, choice.Bind) {
 			return true
 		}
 	}
 	return false
 }
 
+// tryCells starts the job on the allowed cells. With bind, the place uses that shape.
+func (p *planning) tryCells(
+	it *queue.Item, blocked []topology.Mask, cost placement.CostFunc, allowed []topology.Mask, bind func([]model.Member),
+) bool {
+	r := p.request(it)
+	r.Allowed = allowed
+	r.Blocked = blocked
+	found := reclaim.Find(p.table, r, cost)
+	if found == nil {
+		return false
+	}
+	if bind != nil {
+		bind(found.Members)
+	}
+	if !p.keepsGuarantees(it, found) {
+		return false
+	}
+	p.accept(it, found, true)
+	return true
+}
+
 // fairShareOfWorker reports whether a task uses no more CPUs and memory than its
 // accelerators' share of the worker. Guaranteed work beyond that share could keep
 // another guarantee on the same worker from starting.
@@ -121,7 +145,7 @@
 }
 
 // keepsGuarantees reports whether the place lies within the organisation's guarantee
-// and leaves room for all other guaranteed shapes.
+// and leaves room for all other guaranteed shapes. It records the shapes in the members.
 func (p *planning) keepsGuarantees(it *queue.Item, found *placement.Result) bool {
 	extra := &model.Placement{Job: it.Job.Spec.Key, Members: found.Members, Guaranteed: true}
 	extra.StartedUnixMS = math.MaxInt64
@@ -134,12 +158,16 @@
 			return false
 		}
 	}
+	if p.book.Wastes(after, it.Job.Spec.Key.Organisation, it.Job.Spec.Accelerators()) {
+		return false
+	}
+	after.Record(it.Job.Spec.Key.Organisation, found.Members)
 	return true
 }
 
 // placeSpare starts the job on spare capacity and gives its reason.
 func (p *planning) placeSpare(it *queue.Item) {
-	if p.placeFree(it) || p.placeByPreemption(it) || p.placeByMoving(it) {
+	if p.placeFree(it) || p.placeByPreemption(it) {
 		return
 	}
 	if it.Job.Spec.NonRepeatable {
@@ -239,15 +267,19 @@
 			return 0, true
 		}
 		g := &p.table.Gangs[gang]
-		if p.book.Within[gang] || g.Priority > it.Priority && g.Job.Organisation == it.Job.Spec.Key.Organisation {
+		if p.book.Within[gang] {
 			return 0, false
 		}
-		return reclaim.LostWork(g, p.snap.Now), true
+		cost := reclaim.LostWork(g, p.snap.Now)
+		if g.Priority > it.Priority {
+			cost *= higherPriority
+		}
+		return cost, true
 	}
 }
 
 // queueCost lets a job outside a guarantee preempt work of lower priority, and work
-// of its own priority that the discretised queues put well behind it.
+// of its own priority once it waited for longer than the starvation bound.
 func (p *planning) queueCost(it *queue.Item) placement.CostFunc {
 	return func(gang int) (float64, bool) {
 		if gang >= p.running || p.pinned(gang) {
@@ -278,7 +310,7 @@
 	if p.shielded(it, gang) {
 		return false
 	}
-	return g.Priority < it.Priority || it.Aged || p.level(gang) >= it.Level+levelGap
+	return g.Priority < it.Priority || it.Aged
 }
 
 // shielded reports whether a gang started too recently or is too large to be stopped
@@ -310,17 +342,6 @@
 	return p.snap.Now.Sub(time.UnixMilli(g.StartedUnixMS))
 }
 
-// level returns the discretised queue of a running gang.
-func (p *planning) level(gang int) int {
-	if p.levels[gang] < 0 {
-		g := &p.table.Gangs[gang]
-		size := gangSize(g.Placement)
-		attained := p.ran(g) + p.snap.Served[g.Job]
-		p.levels[gang] = queue.Level(p.estimates.Expected(g.Class, size, attained), size)
-	}
-	return p.levels[gang]
-}
-
 func gangSize(r *model.Placement) int {
 	if n := accelerators(r); n > 0 {
 		return n
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -12,27 +12,26 @@
 
 // planning is the state of one call of Decide.
 type planning struct {
-	snap       *Snapshot
-	out        *Plan
-	table      *topology.Table
-	running    int // the first gangs of the table run; later ones are new
-	book       *guarantee.Book
-	estimates  *queue.Estimates
-	shares     *queue.Shares
-	orgs       map[model.Organisation]*Organisation
-	used       map[model.Organisation]int // accelerators in the whole deployment
-	levels     []int                      // by running gang, -1 until computed
-	lefts      []time.Duration            // by running gang, -1 until computed
-	stopping   map[int]bool               // gangs that stop already or in this plan
-	held       []topology.Mask            // promised to jobs that wait for victims
-	head       *queue.Item                // the first gang that does not fit
-	reserved   []topology.Mask            // for the head gang, nil without one
-	promised   []topology.Mask            // to jobs that can have them soon
-	promises   map[*model.Job][]topology.Mask
-	moveTrials int
-	shadow     time.Duration // when the head gang can start
-	decided    map[*model.Job]bool
-	failed     map[attemptKey]bool
+	snap      *Snapshot
+	out       *Plan
+	table     *topology.Table
+	running   int // the first gangs of the table run; later ones are new
+	book      *guarantee.Book
+	estimates *queue.Estimates
+	shares    *queue.Shares
+	orgs      map[model.Organisation]*Organisation
+	used      map[model.Organisation]int // accelerators in the whole deployment
+	lefts     []time.Duration            // by running gang, -1 until computed
+	fixed     map[int]bool               // new gangs that must not be preempted
+	stopping  map[int]bool               // gangs that stop already or in this plan
+	held      []topology.Mask            // promised to jobs that wait for victims
+	head      *queue.Item                // the first gang that does not fit
+	reserved  []topology.Mask            // for the head gang, nil without one
+	promised  []topology.Mask            // to jobs that can have them soon
+	promises  map[*model.Job][]topology.Mask
+	shadow    time.Duration // when the head gang can start
+	decided   map[*model.Job]bool
+	failed    map[attemptKey]bool
 }
 
 // attemptKey names a search that failed. Free resources only shrink during a plan, so
@@ -43,8 +42,7 @@
 	tasks  int
 	task   model.Resources
 	within model.Level
-	// level and priority decide whom the job may preempt.
-	level    int
+	// priority and aged decide whom the job may preempt.
 	priority model.Priority
 	aged     bool
 	pinned   bool
@@ -82,13 +80,12 @@
 	p := &planning{
 		snap: s, out: &Plan{}, table: topology.New(s.Workers, s.Running), running: len(s.Running),
 		estimates: queue.NewEstimates(s.History), orgs: make(map[model.Organisation]*Organisation),
-		used: make(map[model.Organisation]int), stopping: make(map[int]bool),
+		used: make(map[model.Organisation]int), stopping: make(map[int]bool), fixed: make(map[int]bool),
 		held: make([]topology.Mask, len(s.Workers)), promised: make([]topology.Mask, len(s.Workers)),
 		promises: make(map[*model.Job][]topology.Mask),
 		decided:  make(map[*model.Job]bool), failed: make(map[attemptKey]bool),
 	}
 	p.book = p.newBook(nil)
-	p.levels = make([]int, p.running)
 	p.lefts = make([]time.Duration, p.running)
 	weights := make(map[model.Organisation]int, len(s.Organisations))
 	for i := range s.Organisations {
@@ -106,7 +103,6 @@
 
 func (p *planning) countRunning(id int, r *model.Placement) {
 	n := accelerators(r)
-	p.levels[id] = -1
 	p.lefts[id] = -1
 	p.used[r.Job.Organisation] += n
 	p.shares.Charge(r.Job.Organisation, max(n, 1))
@@ -124,12 +120,17 @@
 }
 
 func (p *planning) newBook(extra *model.Placement) *guarantee.Book {
-	return guarantee.NewBook(p.table, p.snap.Guarantees, guarantee.Options{Extra: extra, Pinned: p.pinned})
+	o := guarantee.Options{Extra: extra, Pinned: p.pinned}
+	if p.book != nil {
+		o.Previous = p.book
+		o.First, o.Lost, o.Uncovered = p.book.Strategy(), p.book.Lost(), p.book.Uncovered()
+	}
+	return guarantee.NewBook(p.table, p.snap.Guarantees, o)
 }
 
 // pinned reports whether a gang must not be preempted.
 func (p *planning) pinned(gang int) bool {
-	return p.snap.Pinned[p.table.Gangs[gang].Job]
+	return p.fixed[gang] || p.snap.Pinned[p.table.Gangs[gang].Job]
 }
 
 func (p *planning) reason(j *model.Job, code model.ReasonCode, detail string) {
@@ -245,10 +246,11 @@
 		Job: spec.Key, Attempt: it.Job.Attempt + 1, Shard: p.snap.Shard, Members: found.Members,
 		Guaranteed: guaranteed, Priority: spec.Priority, Class: spec.Class(),
 	}
-	p.table.Add(&start)
+	gang := p.table.Add(&start)
+	p.fixed[gang] = spec.NonRepeatable
 	p.used[spec.Key.Organisation] += spec.Accelerators()
 	p.shares.Charge(spec.Key.Organisation, max(spec.Accelerators(), 1))
-	if guaranteed || len(found.Clear) > 0 {
+	if guaranteed || spec.NonRepeatable || len(found.Clear) > 0 {
 		p.book = p.newBook(nil)
 	}
 	if len(found.Clear) == 0 {
