Share only direct answers, and tolerate one lost read

Cause: a contact that came from a third host could be passed on with a log reading newer than the version that the sharer has in force, which would be false evidence at the receiver. One lost read made Answering false at once, and Publish was refused. Change: contacts are shared from direct answers only; Answering is false after reads failed for 1 s, while appends are still held back at once. Conclusion: found by reading; a test would need three hosts in a zone and a cut within it.

--- a/internal/journal/health.go
+++ b/internal/journal/health.go
@@ -103,9 +103,19 @@
 func (h *health) appendDelay() (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.resumeAt.Sub(h.now()), h.answering()
+	return h.resumeAt.Sub(h.now()), h.lastOK && !h.overdue()
 }
 
+// answering tolerates a single lost read, as reachable does.
 func (h *health) answering() bool {
-	return h.lastOK && (h.sent.IsZero() || h.now().Sub(h.sent) <= h.wait+holdAppendsAfter)
+	if !h.started || h.overdue() {
+		return false
+	}
+	return h.lastOK || h.now().Sub(h.failedAt) < unreachableAfter
+}
+
+// overdue reports whether the read in flight has had no answer for so long that
+// appends must be held back.
+func (h *health) overdue() bool {
+	return !h.sent.IsZero() && h.now().Sub(h.sent) > h.wait+holdAppendsAfter
 }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -178,7 +178,8 @@
 	// start evidence from such a log is always too old.
 	Reachable bool
 	// Answering is true while reads are answered, however late, so that appends
-	// make progress.
+	// make progress. Whoever asks whether the log is down for jobs and calls asks
+	// this; Reachable is for start evidence and zone changes.
 	Answering bool
 	// LastHead is when a read of the config stream last reached its head, measured
 	// at the moment the request was sent. Zero if never.
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -196,7 +196,7 @@
 // Every host calls some host of each zone once a period, so with the shared callers
 // every host of a zone hears of every live host, however the rotations coincide. A
 // report of a version above the own one is not shared: the receiver could not tell
-// that it lacks that version.
+// that it lacks that version. Shared contacts are not passed on, for the same reason.
 func (m *Membership) newContacts(p *peerState, version int64) contacts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -207,10 +207,10 @@
 		if c.Zone == m.opts.Self.Zone {
 			continue
 		}
-		if notBefore(c.answeredAt, since) && c.report.ConfigVersion <= version {
+		if notBefore(c.answeredAt, since) && c.direct.ConfigVersion <= version {
 			out.answers = append(out.answers, &peer.HostContact{
-				HostHash: hostHash(c.Host), AgeMs: uint32(m.ageMS(c.report.At)),
-				LogUnreachable: !c.report.LogReachable, LogAgeMs: int32(m.ageMS(c.report.LogAt)),
+				HostHash: hostHash(c.Host), AgeMs: uint32(m.ageMS(c.direct.At)),
+				LogUnreachable: !c.direct.LogReachable, LogAgeMs: int32(m.ageMS(c.direct.LogAt)),
 			})
 		} else if notBefore(c.calledAt, since) {
 			out.callers = append(out.callers, hostHash(c.Host))
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -52,7 +52,8 @@
 	wantAddress bool // the peer asked for this host's address
 	inFlight    bool
 	lastSeen    time.Time // last sign of life
-	report      Report
+	report      Report // the newest of direct answers and shared contacts
+	direct      Report // the last direct answer; only this is shared
 	acceptedAt  time.Time // when the last report of its incarnation arrived
 	answeredAt  time.Time // when the last direct answer arrived
 	calledAt    time.Time // when it last called this host
@@ -85,7 +86,7 @@
 	}
 	p.acceptedAt = now
 	p.incarnation = incarnation
-	p.report = Report{}
+	p.report, p.direct = Report{}, Report{}
 	p.leaving = false
 	return true
 }
@@ -132,7 +133,8 @@
 		return true, changed
 	}
 	p.answeredAt = now
-	if sent.After(p.report.AnsweredAt) {
+	if sent.After(p.direct.At) {
+		p.direct = report
 		if p.report.At.After(report.At) {
 			report.At, report.LogReachable = p.report.At, p.report.LogReachable
 		}
--- a/internal/statetest/journal_test.go
+++ b/internal/statetest/journal_test.go
@@ -136,6 +136,9 @@
 		time.Sleep(time.Second)
 		before, healed := c.log.Counts().Appends, time.Now()
 		c.heal()
+		if err := n.journal.Flush(within(10 * time.Second)); err != nil {
+			t.Error("flush:", err)
+		}
 		wg.Wait()
 		if spread := c.log.Counts().LastAppend.Sub(healed); spread < 600*time.Millisecond || spread > 2*time.Second {
 			t.Errorf("the appends of 8 hosts after the outage end after %v, want about 1 s of random waits", spread)
