--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -52,8 +52,8 @@
 	wantAddress bool // the peer asked for this host's address
 	inFlight    bool
 	lastSeen    time.Time // last sign of life
-	report      Report // the newest of direct answers and shared contacts
-	direct      Report // the last direct answer; only this is shared
+	report      Report    // the newest of direct answers and shared contacts
+	direct      Report    // the last direct answer; only this is shared
 	acceptedAt  time.Time // when the last report of its incarnation arrived
 	answeredAt  time.Time // when the last direct answer arrived
 	calledAt    time.Time // when it last called this host
--- a/internal/statetest/zone_test.go
+++ b/internal/statetest/zone_test.go
@@ -141,7 +141,7 @@
 
 func zoneOutRound(t *testing.T, seed uint64, plan round) (outcome string, late time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	c := newCluster(t, seed, 2)
+	c := newCluster(t, seed, 2+int(seed%2))
 	defer c.close()
 	c.publishFirst()
 	out, other := plan.out, plan.other
