Share the limits of shards with equal hardware

Cause: each host that accepts a job keeps a copy of 7,500 workers and a topology of each of 26 shards, 3 MB of live heap in the profile of the footprint run. Change: one set of limits for each kind of shard, and only the id and the number of accelerators of a shard.

--- a/internal/jobs/home.go
+++ b/internal/jobs/home.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/model"
-	"github.com/daisyfold/daisyfold/internal/partition"
 )
 
 // candidate is a shard that could run a job, with its load relative to its size.
@@ -22,12 +21,12 @@
 	var best *candidate
 	var fallback *model.ShardID
 	for _, sh := range s.limits.feasible(spec, s.Board.Hosts.Get()) {
-		id := sh.ID
+		id := sh.id
 		fallback = &id
-		if !s.usable(sh.ID.Zone) {
+		if !s.usable(sh.id.Zone) {
 			continue
 		}
-		c := candidate{id: sh.ID, score: s.score(sh)}
+		c := candidate{id: sh.id, score: s.score(&sh)}
 		if best == nil || c.score < best.score {
 			best = &c
 		}
@@ -55,13 +54,9 @@
 	return false
 }
 
-func (s *Service) score(sh partition.Shard) float64 {
-	total := 0
-	for i := range sh.Workers {
-		total += sh.Workers[i].Capacity.Accelerators
-	}
-	score := float64(s.Table.Load(sh.ID)) / float64(max(total, 1))
-	if sh.ID.Zone == s.Zone {
+func (s *Service) score(sh *shardLimits) float64 {
+	score := float64(s.Table.Load(sh.id)) / float64(max(sh.accelerators, 1))
+	if sh.id.Zone == s.Zone {
 		score -= localPreference
 	}
 	return score
