--- a/internal/calls/once.go
+++ b/internal/calls/once.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -36,12 +38,14 @@
 		Organisation: p.req.Organisation,
 		Request:      p.req.ID,
 		Service:      p.req.Service,
-		BodyDigest:   p.digest,
+		BodyDigest:   hex.EncodeToString(p.digest[:]),
 		UniqueID:     uuid.NewString(),
 	}
 	s.entries.setIntent(e, in.UniqueID)
 	if err := s.appendIntent(ctx, p, in); err != nil {
-		s.background(journal.KindCallCancelled, cancellation(in))
+		if !errors.Is(err, journal.ErrNotRecorded) {
+			s.background(journal.KindCallCancelled, cancellation(in))
+		}
 		return s.settle(ctx, p, e, apierror.NotRun(apierror.CodeLogUnavailable, "the intent of request %s was not recorded: %v", p.req.ID, err))
 	}
 	known, ok := s.cfg.Table.get(p.key)
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -29,11 +29,20 @@
 // of hosts that hold all of them.
 type Copier interface {
 	CopyToPeers(ctx context.Context, records []journal.StreamRecord, want int) (stored int)
+	// CopyToHost stores records on one host and reports whether it did.
+	CopyToHost(ctx context.Context, host model.HostID, records []journal.StreamRecord) bool
 }
 
-// Keeper holds this host's own records until they are in the log.
+// Keeper appends this host's own records in order once the log returns.
 type Keeper interface {
-	Store(records []journal.StreamRecord) bool
+	AppendLater(records []journal.StreamRecord) bool
+}
+
+// Relay appends records through peers that reach the log although this host does
+// not.
+type Relay interface {
+	HasRelay() bool
+	Relay(ctx context.Context, r journal.StreamRecord) (won bool, err error)
 }
 
 // Options configure a Service.
@@ -44,10 +53,15 @@
 	Journal journal.Journal
 	Table   *Table
 	Copier  Copier
-	Keeper  Keeper
-	NewID   func() string
-	Now     func() time.Time
-	Logger  *zap.Logger
+	// Owner returns the host that plans a shard.
+	Owner  func(model.ShardID) (model.HostID, bool)
+	Keeper Keeper
+	Relay  Relay
+	NewID  func() string
+	Now    func() time.Time
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	Logger    *zap.Logger
 }
 
 // Service accepts, cancels and finds jobs.
@@ -91,7 +105,7 @@
 	if rerr != nil {
 		return Accepted{}, apierror.NotRun(apierror.CodeBadInput, "job cannot be encoded: %v", rerr)
 	}
-	return s.record(ctx, spec, rec)
+	return s.record(ctx, home, spec, rec)
 }
 
 // known looks a submission up among the jobs accepted before.
@@ -154,7 +168,7 @@
 }
 
 // record makes the acceptance durable in the log or, while it is down, on peers.
-func (s *Service) record(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
+func (s *Service) record(ctx context.Context, home model.ShardID, spec model.JobSpec, rec journal.Record) (Accepted, error) {
 	if s.Journal.State().Answering {
 		_, err := s.Journal.Append(ctx, journal.StreamJobs, rec)
 		if err == nil {
@@ -162,7 +176,25 @@
 		}
 		s.Logger.Warn("jobs: append of an acceptance failed", zap.Error(err))
 	}
-	return s.acceptOnPeers(ctx, spec, rec)
+	if s.Relay.HasRelay() {
+		return s.acceptByRelay(ctx, spec, rec)
+	}
+	return s.acceptOnPeers(ctx, home, spec, rec)
+}
+
+// acceptByRelay appends the acceptance through a peer.
+func (s *Service) acceptByRelay(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
+	won, err := s.Relay.Relay(ctx, journal.StreamRecord{Stream: journal.StreamJobs, Record: rec})
+	if err != nil {
+		return Accepted{}, apierror.Unknown(apierror.CodeLogUnavailable,
+			"the job may be accepted later: %v; repeat with the same id", err)
+	}
+	if !won {
+		return Accepted{}, apierror.NotRun(apierror.CodeIDReused,
+			"job %s was submitted before with other content", spec.Key)
+	}
+	s.Table.ApplyProvisional(rec)
+	return Accepted{ID: spec.Key.ID, Durability: DurableLog, State: model.JobWaiting}, nil
 }
 
 func (s *Service) acceptedAnswer(spec model.JobSpec) (Accepted, error) {
@@ -175,7 +207,7 @@
 
 // acceptOnPeers copies the acceptance to other hosts. The record may also be in
 // the log already; readers ignore the second by its id.
-func (s *Service) acceptOnPeers(ctx context.Context, spec model.JobSpec, rec journal.Record) (Accepted, error) {
+func (s *Service) acceptOnPeers(ctx context.Context, home model.ShardID, spec model.JobSpec, rec journal.Record) (Accepted, error) {
 	records := []journal.StreamRecord{{Stream: journal.StreamJobs, Record: rec}}
 	stored := s.Copier.CopyToPeers(ctx, records, copiesWanted)
 	if stored < copiesWanted {
@@ -183,7 +215,11 @@
 			"the log is unavailable and only %d of %d copies were stored; repeat with the same id",
 			stored, copiesWanted)
 	}
-	s.Keeper.Store(records)
+	s.Keeper.AppendLater(records)
+	// The planner of the home needs the job too, or it would wait for the log.
+	if owner, ok := s.Owner(home); ok && owner != s.Host {
+		s.Copier.CopyToHost(ctx, owner, records)
+	}
 	s.Table.ApplyProvisional(rec)
 	return Accepted{ID: spec.Key.ID, Durability: DurablePeers, State: model.JobWaiting}, nil
 }
@@ -202,13 +238,38 @@
 	if err != nil {
 		return model.Job{}, apierror.NotRun(apierror.CodeInternal, "cancellation cannot be encoded: %v", err)
 	}
-	if _, err := s.Journal.Append(ctx, journal.StreamJobs, rec); err != nil {
+	if err := s.append(ctx, rec); err != nil {
 		return model.Job{}, apierror.Unknown(apierror.CodeLogUnavailable,
 			"the cancellation is not recorded yet: %v", err)
 	}
 	return s.Table.Get(key).Job, nil
 }
 
+// append writes a record to the log, through a peer if this host cannot reach it.
+func (s *Service) append(ctx context.Context, rec journal.Record) error {
+	if s.Journal.State().Answering || !s.Relay.HasRelay() {
+		_, err := s.Journal.Append(ctx, journal.StreamJobs, rec)
+		return err
+	}
+	_, err := s.Relay.Relay(ctx, journal.StreamRecord{Stream: journal.StreamJobs, Record: rec})
+	if err == nil {
+		s.Table.ApplyProvisional(rec)
+	}
+	return err
+}
+
+// RelayFor appends a record for a peer. won tells whether the record is the decision
+// that counts for its job.
+func (s *Service) RelayFor(ctx context.Context, r journal.StreamRecord) (recorded, won bool) {
+	if !s.Journal.State().Answering {
+		return false, false
+	}
+	if _, err := s.Journal.Append(ctx, r.Stream, r.Record); err != nil {
+		return false, false
+	}
+	return true, s.Table.counts(r.Record)
+}
+
 // Get returns a job.
 func (s *Service) Get(key model.JobKey) (model.Job, bool) {
 	e := s.Table.Get(key)
--- a/internal/shard/link.go
+++ b/internal/shard/link.go
@@ -21,7 +21,8 @@
 	client  workerlink.Worker
 	host    model.HostID
 	changed func()
-	slots   chan struct{} // bounds concurrent acquisitions of the shard
+	cancel  context.CancelFunc // ends run
+	slots   chan struct{}      // bounds concurrent acquisitions of the shard
 	now     func() time.Time
 
 	mu    sync.Mutex
@@ -35,8 +36,10 @@
 	// handedOver is set when the shard is given up: the link renews, so that
 	// operations can end, but acquires nothing any more.
 	handedOver bool
-	since      uint64
-	tasks      map[model.TaskID]workerlink.Task
+	// leaving is set when the platform's list says so.
+	leaving bool
+	since   uint64
+	tasks   map[model.TaskID]workerlink.Task
 	// changes counts the changes of tasks. listed is the last copy of tasks, nil
 	// after a change.
 	changes uint64
@@ -260,6 +263,13 @@
 	_ = l.client.Release(cctx, workerlink.ReleaseRequest{Token: token})
 }
 
+// idle reports whether the worker cannot be reached and has no known tasks.
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.held && len(l.tasks) == 0
+}
+
 // linkView is a consistent copy of a link's state.
 type linkView struct {
 	held bool
@@ -284,9 +294,9 @@
 
 func (l *link) healthLocked() model.WorkerHealth {
 	switch {
-	case !l.held:
+	case !l.held, l.health.resting(l.now()):
 		return model.WorkerLost
-	case l.worker.Health == model.WorkerLeaving:
+	case l.leaving:
 		return model.WorkerLeaving
 	case l.health.onProbation():
 		return model.WorkerProbation
@@ -298,16 +308,13 @@
 func (l *link) setLeaving(leaving bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.worker.Health = model.WorkerHealthy
-	if leaving {
-		l.worker.Health = model.WorkerLeaving
-	}
+	l.leaving = leaving
 }
 
 func (l *link) noteStart(ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health.note(ok)
+	l.health.note(ok, l.now())
 }
 
 // unsent reports whether a call certainly did not reach the worker, as when its
