--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -20,8 +19,6 @@
 	maxReasons = 8
 	// maxOrphans bounds the records kept for jobs whose snapshot has not been read.
 	maxOrphans = 20_000
-	// maxWorkerNames bounds the shared names, above the workers of the design size.
-	maxWorkerNames = 20_000
 )
 
 // overlay is a job's entry as this host knows it while some of its records are
@@ -109,28 +106,6 @@
 	}
 }
 
-// compact lets a new placement share its strings with the job and with other
-// placements: 39,000 running tasks name 7,500 workers. The entry is not stored yet.
-func (t *Table) compact(n *Entry) {
-	p, spec := n.Job.Placement, &n.Job.Spec
-	p.Job, p.Shard = spec.Key, n.Job.Home
-	if p.Class == spec.Class() {
-		p.Class = spec.Class()
-	}
-	p.Members = slices.Clone(p.Members)
-	if len(t.workers) > maxWorkerNames {
-		clear(t.workers)
-	}
-	for i := range p.Members {
-		m := &p.Members[i]
-		if kept, ok := t.workers[m.Worker]; ok {
-			m.Worker = kept
-		} else {
-			t.workers[m.Worker] = m.Worker
-		}
-	}
-}
-
 // applyEarly applies kept records of a job that have become valid, in log order.
 func (t *Table) applyEarly(key model.JobKey) {
 	for applied := true; applied && len(t.orphans[key]) > 0; {
