--- a/internal/load/footprint.go
+++ b/internal/load/footprint.go
@@ -86,6 +86,7 @@
 		return footprintResult{}, trace.Wrap(err)
 	}
 	progress(o, begin, "the daemon is ready")
+	s.others.printSizes(o.Out)
 	if err := s.submit(ctx); err != nil {
 		return footprintResult{}, trace.Wrap(err)
 	}
@@ -148,7 +149,8 @@
 	// All read and write calls of the process, wake-ups and log output included: an
 	// upper bound that shows whether a link is missing from the sum.
 	calls := float64(after.traffic-before.traffic) / bytesPerKB / seconds
-	_, err = fmt.Fprintf(s.options.Out, "read_and_write_calls\t%.2f\tKB/s\nrss_of_program_file\t%.1f\tMB\n",
-		calls, float64(after.fileKB)/kbPerMB)
+	_, err = fmt.Fprintf(s.options.Out,
+		"read_and_write_calls\t%.2f\tKB/s\nrss_of_program_file\t%.1f\tMB\nrss_at_end\t%.1f\tMB\n",
+		calls, float64(after.fileKB)/kbPerMB, float64(after.rssKB)/kbPerMB)
 	return result, trace.Wrap(err)
 }
--- a/internal/load/footprintothers.go
+++ b/internal/load/footprintothers.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -42,6 +45,8 @@
 	version int64
 	jobs    int
 	begin   time.Time
+	// sizes are the bytes of the last record of each kind in the log.
+	sizes map[journal.Kind]int
 }
 
 // newOthers puts the first configuration and the running jobs of other shards into
@@ -51,7 +56,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	o := &others{size: size, log: logservice.New(base, nil), text: text, begin: time.Now()}
+	o := &others{size: size, log: logservice.New(base, nil), text: text, begin: time.Now(), sizes: map[journal.Kind]int{}}
 	if err := o.edit(ctx); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -71,6 +76,13 @@
 	return o, nil
 }
 
+// printSizes prints the size of a record of each kind.
+func (o *others) printSizes(w io.Writer) {
+	for _, kind := range slices.Sorted(maps.Keys(o.sizes)) {
+		_, _ = fmt.Fprintf(w, "record_%s\t%d\tbytes\n", kind, o.sizes[kind])
+	}
+}
+
 func (o *others) append(ctx context.Context, stream journal.Stream, records []journal.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, preloadWait)
 	defer cancel()
@@ -80,6 +92,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		o.sizes[r.Kind] = len(one)
 		data = append(data, one)
 	}
 	_, err := o.log.Append(ctx, string(stream), data)
