--- a/cmd/daisyfoldd/runtime.go
+++ b/cmd/daisyfoldd/runtime.go
@@ -12,8 +12,9 @@
 	maxThreads = 2
 	// gcPercent trades processor time for memory: with the default of 100 the heap
 	// grows to twice the live data. There is no memory limit: one below the live
-	// data made the collector run without pause, at half a core.
-	gcPercent = 40
+	// data made the collector run without pause, at half a core. 20 saves 2 MB more
+	// and costs 0.7 % of a core.
+	gcPercent = 30
 )
 
 // limitRuntime sets what the environment does not set.
