--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -48,7 +48,8 @@
 	load    map[model.ShardID]int // accelerators of waiting and active jobs
 	reasons map[model.JobKey][]model.Reason
 	done    map[model.JobKey]chan struct{}
-	last    int64 // offset of the last applied record
+	last    int64                             // offset of the last applied record
+	workers map[model.WorkerID]model.WorkerID // names that placements share
 }
 
 // NewTable returns an empty table.
@@ -64,6 +65,7 @@
 		reasons: map[model.JobKey][]model.Reason{},
 		done:    map[model.JobKey]chan struct{}{},
 		last:    -1,
+		workers: map[model.WorkerID]model.WorkerID{},
 	}
 }
 
@@ -94,6 +96,9 @@
 	n, ok := next(cur, r)
 	switch {
 	case ok:
+		if r.Kind == journal.KindJobPlaced {
+			t.compact(n)
+		}
 		t.store(key, n)
 		t.applyEarly(key)
 	case cur != nil && early(cur, r):
@@ -101,39 +106,6 @@
 	}
 }
 
-// applyEarly applies kept records of a job that have become valid, in log order.
-func (t *Table) applyEarly(key model.JobKey) {
-	for applied := true; applied && len(t.orphans[key]) > 0; {
-		applied = false
-		var rest []orphan
-		for _, o := range t.orphans[key] {
-			e := t.entries[key]
-			if n, ok := next(e, o.rec); ok {
-				t.store(key, n)
-				applied = true
-			} else if early(e, o.rec) {
-				rest = append(rest, o)
-			}
-		}
-		t.nOrphan -= len(t.orphans[key]) - len(rest)
-		t.orphans[key] = rest
-	}
-	if len(t.orphans[key]) == 0 {
-		delete(t.orphans, key)
-	}
-}
-
-// keepOrphan keeps a record that is not valid yet: the job's acceptance is older than
-// the log's retention and its snapshot follows, or records of an outage reached the
-// log out of order.
-func (t *Table) keepOrphan(key model.JobKey, offset int64, r journal.Record) {
-	if t.nOrphan >= maxOrphans {
-		return
-	}
-	t.orphans[key] = append(t.orphans[key], orphan{offset: offset, rec: r})
-	t.nOrphan++
-}
-
 func (t *Table) applySnapshot(key model.JobKey, r journal.Record) {
 	var b journal.JobSnapshot
 	if json.Unmarshal(r.Body, &b) != nil {
