Follow traces over every hop and ask the planner's host for reasons

Spans for entry host, peer, platform log, planner, worker and target; hops that also serve renewals and heartbeats begin no span without a parent. New twirp call Explain, at most 8 reasons of 1 KB, asked with a limit of 1 s; a planner's host that does not answer gives the reason planner_not_reached. Every part gets its logger from logging.Part and writes no prefix; the daemon's own lines are of the part daemon. Conclusion: a gang's trace goes from submission to the last start although another host plans it. Spans of withdrawals and renewals are not traced.

--- a/internal/apiserver/deps.go
+++ b/internal/apiserver/deps.go
@@ -46,7 +46,8 @@
 	Wait(ctx context.Context, key model.JobKey) (model.Job, error)
 	// Cancel records the cancellation of a job. By says who asked for it.
 	Cancel(ctx context.Context, key model.JobKey, by string) (model.Job, error)
-	Explain(key model.JobKey) []model.Reason
+	// Explain returns the reasons of the planner's last decisions, oldest first.
+	Explain(ctx context.Context, key model.JobKey) []model.Reason
 }
 
 // CallRequest is one request to a service.
--- a/internal/apiserver/fakes_test.go
+++ b/internal/apiserver/fakes_test.go
@@ -61,7 +61,7 @@
 	return f.jobs[key], f.err
 }
 
-func (f *fake) Explain(model.JobKey) []model.Reason { return nil }
+func (f *fake) Explain(context.Context, model.JobKey) []model.Reason { return nil }
 
 func (f *fake) Do(_ context.Context, request CallRequest) (CallAnswer, error) {
 	f.call = request
--- a/internal/apiserver/jobs.go
+++ b/internal/apiserver/jobs.go
@@ -178,7 +178,7 @@
 		return nil, err
 	}
 	explanation := &api.Explanation{Job: *jobAnswer(&job), Reasons: []api.Reason{}}
-	for _, r := range s.Jobs.Explain(job.Spec.Key) {
+	for _, r := range s.Jobs.Explain(ctx, job.Spec.Key) {
 		explanation.Reasons = append(explanation.Reasons, api.Reason{
 			Code: string(r.Code), Detail: r.Detail, UnixMS: r.UnixMS,
 		})
--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -181,7 +181,7 @@
 	defer cancel()
 	ans, err := client.FetchConfig(ctx, &peer.FetchConfigRequest{NewerThan: newerThan})
 	if err != nil {
-		s.opts.Logger.Debug("configsync: fetch failed", zap.String("host", string(host)), zap.Error(err))
+		s.opts.Logger.Debug("fetch failed", zap.String("host", string(host)), zap.Error(err))
 		return false
 	}
 	return len(ans.Text) > 0 && s.takeFetched(ans)
--- a/internal/configsync/pending.go
+++ b/internal/configsync/pending.go
@@ -192,7 +192,7 @@
 	case apierror.CodeNotFound, apierror.CodeTooLarge:
 		s.drop(c, err)
 	default:
-		s.opts.Logger.Info("configsync: pending change is not appended yet",
+		s.opts.Logger.Info("pending change is not appended yet",
 			zap.String("id", c.id), zap.Error(err))
 	}
 }
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -131,7 +131,7 @@
 	text, err := s.opts.Parse(raw)
 	if err != nil {
 		s.unreadable = version
-		s.opts.Logger.Error("configsync: text in force elsewhere does not parse here",
+		s.opts.Logger.Error("text in force elsewhere does not parse here",
 			zap.Int64("version", version), zap.Error(err))
 		s.event("version %d does not parse here: %v", version, err)
 		return
@@ -139,7 +139,7 @@
 	s.opts.Board.Config.Put(&blackboard.Configuration{
 		Version: version, Raw: raw, Text: text, ThroughOffset: through,
 	})
-	s.opts.Logger.Info("configsync: configuration in force", zap.Int64("version", version))
+	s.opts.Logger.Info("configuration in force", zap.Int64("version", version))
 }
 
 func (s *Sync) inForce() int64 {
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apiserver"
 	"github.com/daisyfold/daisyfold/internal/calls"
@@ -14,7 +15,52 @@
 )
 
 // jobsAPI adapts the jobs service to the API server.
-type jobsAPI struct{ *jobs.Service }
+type jobsAPI struct {
+	*jobs.Service
+	members *membership.Membership
+}
+
+// explainTimeout bounds the question to the planner's host.
+const explainTimeout = time.Second
+
+// Explain implements apiserver.Jobs. The reasons are in the memory of the host that
+// plans the job's home shard.
+func (j jobsAPI) Explain(ctx context.Context, key model.JobKey) []model.Reason {
+	own := j.Service.Explain(key)
+	job, ok := j.Get(key)
+	owner, known := j.members.Owner(job.Home)
+	if !ok || !known || owner == j.members.Self().Host {
+		return own
+	}
+	reasons, err := j.askReasons(ctx, owner, key)
+	if err == nil {
+		return reasons
+	}
+	return append(own, model.Reason{
+		Job: key, Code: model.ReasonNoAnswer, UnixMS: time.Now().UnixMilli(),
+		Detail: "host " + string(owner) + " plans the job and did not answer",
+	})
+}
+
+func (j jobsAPI) askReasons(ctx context.Context, host model.HostID, key model.JobKey) ([]model.Reason, error) {
+	client, ok := j.members.Client(host)
+	if !ok {
+		return nil, trace.NotFound("host %s is not known", host)
+	}
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	ans, err := client.Explain(ctx, &peer.ExplainRequest{Organisation: string(key.Organisation), Job: string(key.ID)})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	out := make([]model.Reason, 0, len(ans.Reasons))
+	for _, r := range ans.Reasons {
+		out = append(out, model.Reason{
+			Job: key, Code: model.ReasonCode(r.Code), Detail: r.Detail, UnixMS: r.UnixMs,
+		})
+	}
+	return out, nil
+}
 
 // Submit implements apiserver.Jobs.
 func (j jobsAPI) Submit(ctx context.Context, spec model.JobSpec) (apiserver.SubmitResult, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	calls   *calls.Service
 	shards  *shard.Manager
 	pool    *controller.Pool
+	log     *zap.Logger // of the part "daemon"
 	leaving chan struct{}
 	stopped atomic.Bool
 }
@@ -45,6 +47,7 @@
 func New(o Options) *Daemon {
 	o.setDefaults()
 	d := &Daemon{Options: o, board: blackboard.New(), leaving: make(chan struct{})}
+	d.log = d.part("daemon")
 	d.pool = controller.NewPool(controllerWorkers)
 	d.buildAgreement()
 	d.buildJobs()
@@ -60,7 +63,7 @@
 	s := d.Settings
 	d.journal = journal.New(journal.Options{
 		Log: d.Outside.Log, Host: s.Host, Now: d.Now,
-		AppendsPerSecond: d.appendShare, Retention: logRetention, Logger: d.Logger,
+		AppendsPerSecond: d.appendShare, Retention: logRetention, Logger: d.part("journal"),
 	})
 	scheme := "http://"
 	if d.Outside.PeerTLS != nil {
@@ -73,11 +76,11 @@
 	}
 	d.members = membership.New(membership.Options{
 		Self: self, Peers: peers, Members: &d.board.Members, Hosts: &d.board.Hosts,
-		Dial: d.Outside.Dial, Now: d.Now, Logger: d.Logger,
+		Dial: d.Outside.Dial, Now: d.Now, Logger: d.part("membership"),
 	})
 	d.sync = configsync.New(configsync.Options{
 		Board: d.board, Journal: d.journal, Members: d.members, Parse: parseText,
-		EditZone: config.SetZone, Retention: logRetention, Now: d.Now, Logger: d.Logger,
+		EditZone: config.SetZone, Retention: logRetention, Now: d.Now, Logger: d.part("configsync"),
 	})
 	d.journal.Register(journal.StreamConfig, d.sync)
 	d.journal.RegisterSnapshotter(d.sync)
@@ -169,6 +172,11 @@
 	if err != nil {
 		return err
 	}
+	return d.runOn(ctx, stop, apiL, peerL)
+}
+
+// runOn is Run on open listeners.
+func (d *Daemon) runOn(ctx context.Context, stop <-chan struct{}, apiL, peerL net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
 	servers := d.serve(ctx, g, apiL, peerL)
 	d.runLoops(ctx, g)
@@ -181,7 +189,7 @@
 		d.drain(ctx, servers)
 		return errStopped
 	})
-	err = g.Wait()
+	err := g.Wait()
 	if errors.Is(err, errStopped) || errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -207,7 +215,7 @@
 	defer cancel()
 	list, changed, err := d.Outside.Hosts.Fetch(cctx)
 	if err != nil {
-		d.Logger.Debug("daemon: the host list cannot be read", zap.Error(err))
+		d.log.Debug("the host list cannot be read", zap.Error(err))
 		return
 	}
 	if changed {
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,6 +22,7 @@
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
 	"github.com/daisyfold/daisyfold/internal/rpc/peer"
 	"github.com/daisyfold/daisyfold/internal/settings"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // Times of the daemon's own loops.
@@ -87,13 +89,13 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if peers == nil {
-		o.Dial = membership.DialHTTP
-		return nil
+	transport := membership.PlainTransport
+	if peers != nil {
+		o.PeerTLS = peers.Server
+		transport = func() http.RoundTripper { return membership.TLSTransport(peers.Dial) }
 	}
-	o.PeerTLS = peers.Server
 	o.Dial = func(address string) peer.Peer {
-		return membership.Client(address, membership.TLSTransport(peers.Dial))
+		return membership.Client(address, tracing.Transport(tracing.HopPeer, transport()))
 	}
 	return nil
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -49,21 +49,22 @@
 
 func (d *Daemon) apiServer() *http.Server {
 	handler := apiserver.NewHandler(apiserver.Deps{
-		Jobs: jobsAPI{d.jobs}, Calls: callsAPI{d.calls}, Configs: d.sync, Status: d,
+		Jobs: jobsAPI{d.jobs, d.members}, Calls: callsAPI{d.calls}, Configs: d.sync, Status: d,
 		Config: d.board.Config.Get, Ready: d.ready, Leaving: d.leaving,
 		BootstrapKeyHash: d.Settings.BootstrapKeyHash,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler(d.Registry))
-	mux.Handle("/", tracing.Middleware("entry host", handler))
+	mux.Handle("/", tracing.Middleware(tracing.HopEntry, handler))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeader, TLSConfig: d.Outside.CallerTLS}
 }
 
 func (d *Daemon) peerServer() *http.Server {
 	srv := &peerserver.Server{
 		Members: d.members, Configs: d.sync, Copies: copies{d}, Outcomes: outcomes{d.calls},
+		Reasons: d.table,
 	}
-	s := peerserver.NewHTTPServer(tracing.Middleware("peer", peerserver.Handler(srv)))
+	s := peerserver.NewHTTPServer(tracing.ChildMiddleware(tracing.HopPeer, peerserver.Handler(srv)))
 	s.TLSConfig = d.Outside.PeerTLS
 	return s
 }
@@ -109,22 +110,22 @@
 	d.members.SetLeaving(ctx)
 	d.shards.Stop(ctx)
 	if err := s.api.Shutdown(ctx); err != nil {
-		d.Logger.Warn("daemon: requests were in progress at the drain deadline")
+		d.log.Warn("requests were in progress at the drain deadline")
 	}
 	if err := d.calls.Drain(ctx); err != nil {
-		d.Logger.Warn("daemon: calls were in progress at the drain deadline")
+		d.log.Warn("calls were in progress at the drain deadline")
 	}
 	fctx, fcancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer fcancel()
 	if err := d.journal.Flush(fctx); err != nil {
-		d.Logger.Warn("daemon: records were not flushed: " + err.Error())
+		d.log.Warn("records were not flushed: " + err.Error())
 	}
 	_ = s.peer.Shutdown(fctx)
 }
 
 func (d *Daemon) event(msg string) {
 	d.board.Events.Add(blackboard.Event{Time: d.Now(), Part: "daemon", Message: msg})
-	d.Logger.Info("daemon: " + msg)
+	d.log.Info(msg)
 }
 
 // Events implements apiserver.StatusSource.
--- a/internal/jobs/fold.go
+++ b/internal/jobs/fold.go
@@ -24,6 +24,8 @@
 	PlacedBy model.HostID
 	// Failures counts attempts that ended because a task failed by itself.
 	Failures int
+	// Trace is the span context of the submission, empty when tracing is off.
+	Trace string
 }
 
 // keyOf returns the job that a record concerns.
@@ -97,6 +99,7 @@
 			Spec: b.Spec, State: model.JobWaiting, Home: b.Home, AcceptedUnixMS: b.UnixMS,
 		},
 		Digest: Digest(b.Spec),
+		Trace:  r.Trace,
 	}, true
 }
 
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -10,6 +10,7 @@
 	"github.com/daisyfold/daisyfold/internal/blackboard"
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // copiesWanted is how many other hosts must hold a job that was accepted while the
@@ -91,6 +92,7 @@
 	if rerr != nil {
 		return Accepted{}, apierror.NotRun(apierror.CodeBadInput, "job cannot be encoded: %v", rerr)
 	}
+	rec.Trace = tracing.Carry(ctx)
 	return s.record(ctx, spec, rec)
 }
 
@@ -160,7 +162,7 @@
 		if err == nil {
 			return s.acceptedAnswer(spec)
 		}
-		s.Logger.Warn("jobs: append of an acceptance failed", zap.Error(err))
+		s.Logger.Warn("append of an acceptance failed", zap.Error(err))
 	}
 	return s.acceptOnPeers(ctx, spec, rec)
 }
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -112,7 +112,7 @@
 	if t.entries[key] != nil || json.Unmarshal(r.Body, &b) != nil {
 		return
 	}
-	e := &Entry{Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec)}
+	e := &Entry{Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec), Trace: r.Trace}
 	for _, o := range t.orphans[key] {
 		if o.offset <= b.ThroughOffset {
 			continue
--- a/internal/journal/appender.go
+++ b/internal/journal/appender.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"github.com/daisyfold/daisyfold/internal/platform/logservice"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // appendTimeout bounds one append call. When it ends, the append's fate is open.
@@ -94,7 +96,13 @@
 	}
 }
 
-func (s *stream) append(ctx context.Context, r Record) (int64, error) {
+func (s *stream) append(ctx context.Context, r Record) (offset int64, err error) {
+	ctx, span := tracing.StartChild(ctx, tracing.HopLog,
+		attribute.String("stream", string(s.name)), attribute.String("kind", string(r.Kind)))
+	defer func() { tracing.End(span, err) }()
+	if r.Trace == "" {
+		r.Trace = tracing.Carry(ctx)
+	}
 	e, err := s.enqueue(r)
 	if err != nil {
 		return 0, err
@@ -206,7 +214,7 @@
 			s.waitApplied(ctx, batch)
 			continue
 		}
-		s.j.opts.Logger.Debug("journal: append failed",
+		s.j.opts.Logger.Debug("append failed",
 			zap.String("stream", string(s.name)), zap.Error(err))
 		if !errors.Is(err, logservice.ErrNotApplied) {
 			s.waitHeadAfter(ctx, s.j.opts.Now())
--- a/internal/journal/copystore.go
+++ b/internal/journal/copystore.go
@@ -134,7 +134,7 @@
 
 func (c *CopyStore) appendOne(ctx context.Context, r StreamRecord) {
 	if _, err := c.j.Append(ctx, r.Stream, r.Record); err != nil {
-		c.j.opts.Logger.Debug("journal: copied record is not appended yet",
+		c.j.opts.Logger.Debug("copied record is not appended yet",
 			zap.String("record", r.Record.ID), zap.Error(err))
 		return
 	}
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -91,14 +91,14 @@
 		s.j.health.fail()
 	}
 	if before && !s.j.State().Reachable {
-		s.j.opts.Logger.Warn("journal: log is unreachable", zap.Error(err))
+		s.j.opts.Logger.Warn("log is unreachable", zap.Error(err))
 	}
 }
 
 // accept applies one batch and then publishes what it proves about the log.
 func (s *stream) accept(sent time.Time, b logservice.Batch) {
 	if b.Head < s.next {
-		s.j.opts.Logger.Error("journal: head of the log moved back",
+		s.j.opts.Logger.Error("head of the log moved back",
 			zap.String("stream", string(s.name)), zap.Int64("next", s.next), zap.Int64("head", b.Head))
 		s.readFailed(nil)
 		return
@@ -126,7 +126,7 @@
 
 // skipTo resumes at the first record that retention kept.
 func (s *stream) skipTo(first int64) {
-	s.j.opts.Logger.Warn("journal: records are gone before they were read",
+	s.j.opts.Logger.Warn("records are gone before they were read",
 		zap.String("stream", string(s.name)), zap.Int64("from", s.next), zap.Int64("first", first))
 	for _, a := range s.appliers {
 		if g, ok := a.(GapObserver); ok {
@@ -141,7 +141,7 @@
 	s.next = r.Offset + 1
 	var rec Record
 	if err := json.Unmarshal(r.Data, &rec); err != nil || rec.ID == "" {
-		s.j.opts.Logger.Error("journal: record is not readable",
+		s.j.opts.Logger.Error("record is not readable",
 			zap.String("stream", string(s.name)), zap.Int64("offset", r.Offset), zap.Error(err))
 		return
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -49,6 +49,9 @@
 	Host   model.HostID    `json:"host"`
 	UnixMS int64           `json:"unixMS"`
 	Body   json.RawMessage `json:"body"`
+	// Trace is the span context of the record's writer as a traceparent value, so that
+	// a trace goes on at the host that acts on the record. Empty when tracing is off.
+	Trace string `json:"trace,omitempty"`
 }
 
 // ConfigEdit replaces the text. It is accepted if BaseVersion is the version in
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -40,6 +40,6 @@
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	if err := s.Snapshot(ctx, j); err != nil {
-		j.opts.Logger.Warn("journal: snapshot failed, the next call repeats it", zap.Error(err))
+		j.opts.Logger.Warn("snapshot failed, the next call repeats it", zap.Error(err))
 	}
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -125,7 +125,7 @@
 		return false
 	}
 	if ans.Host != string(p.Host) {
-		m.opts.Logger.Warn("membership: another host answers at the peer's address",
+		m.opts.Logger.Warn("another host answers at the peer's address",
 			zap.String("peer", string(p.Host)), zap.String("answered", ans.Host))
 		return false
 	}
--- a/internal/membership/copy.go
+++ b/internal/membership/copy.go
@@ -26,7 +26,7 @@
 func (m *Membership) CopyToPeers(ctx context.Context, records []journal.StreamRecord, want int) int {
 	calls, err := m.copyCalls(records)
 	if err != nil {
-		m.opts.Logger.Error("membership: records cannot be copied", zap.Error(err))
+		m.opts.Logger.Error("records cannot be copied", zap.Error(err))
 		return 0
 	}
 	candidates := m.copyCandidates()
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -210,7 +210,7 @@
 		Host: model.HostID(r.Host), Zone: model.Zone(r.Zone), Address: r.Address,
 	}}
 	m.peers[p.Host] = p
-	m.opts.Logger.Info("membership: learned a host from its heartbeat",
+	m.opts.Logger.Info("learned a host from its heartbeat",
 		zap.String("host", r.Host), zap.String("zone", r.Zone))
 	return p
 }
--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -19,7 +19,12 @@
 // DialHTTP returns a client that speaks unencrypted HTTP/2: its compressed headers
 // are a tenth of those of HTTP/1.1 and would otherwise be most of a heartbeat.
 func DialHTTP(address string) peer.Peer {
-	return DialHTTPOver(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return Client(address, PlainTransport())
+}
+
+// PlainTransport returns the transport of one peer over unencrypted TCP connections.
+func PlainTransport() http.RoundTripper {
+	return HTTPTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
 }
 
 // DialHTTPOver is DialHTTP over connections that dial opens.
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -103,6 +103,7 @@
 	ReasonDependency    ReasonCode = "dependency_unavailable"
 	ReasonDefrag        ReasonCode = "defragmentation"
 	ReasonImpossible    ReasonCode = "can_never_run"
+	ReasonNoAnswer      ReasonCode = "planner_not_reached"
 )
 
 // Reason records why a job was placed, passed over or stopped.
--- a/internal/peerserver/server.go
+++ b/internal/peerserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -23,6 +24,9 @@
 	idleTimeout       = 2 * time.Minute
 	// maxOutcomeBytes is the largest answer that is passed to a peer.
 	maxOutcomeBytes = 64 << 10
+	// maxReasons and maxDetailBytes bound an answer to Explain.
+	maxReasons     = 8
+	maxDetailBytes = 1 << 10
 )
 
 // Members answers heartbeats.
@@ -53,12 +57,20 @@
 	Outcome(org model.Organisation, request string) CallOutcome
 }
 
+// Reasons knows why this host's planner left jobs where they are.
+type Reasons interface {
+	// Reasons returns the last reasons of a job, oldest first.
+	Reasons(model.JobKey) []model.Reason
+}
+
 // Server implements peer.Peer. Outcomes may be nil: every outcome is then unknown.
+// Reasons may be nil: no job then has any.
 type Server struct {
 	Members  Members
 	Configs  Configs
 	Copies   Copies
 	Outcomes Outcomes
+	Reasons  Reasons
 }
 
 var _ peer.Peer = (*Server)(nil)
@@ -102,6 +114,23 @@
 	return &peer.CallOutcomeAnswer{Outcome: o.Outcome, Status: int32(o.Status), Body: o.Body}, nil
 }
 
+// Explain implements peer.Peer.
+func (s *Server) Explain(_ context.Context, r *peer.ExplainRequest) (*peer.ExplainAnswer, error) {
+	answer := &peer.ExplainAnswer{}
+	if s.Reasons == nil {
+		return answer, nil
+	}
+	key := model.JobKey{Organisation: model.Organisation(r.Organisation), ID: model.JobID(r.Job)}
+	all := s.Reasons.Reasons(key)
+	for _, x := range all[max(0, len(all)-maxReasons):] {
+		detail := strings.ToValidUTF8(x.Detail[:min(len(x.Detail), maxDetailBytes)], "")
+		answer.Reasons = append(answer.Reasons, &peer.ExplainReason{
+			Code: string(x.Code), Detail: detail, UnixMs: x.UnixMS,
+		})
+	}
+	return answer, nil
+}
+
 // Handler returns the HTTP handler of the peer API, below peer.PeerPathPrefix.
 func Handler(s peer.Peer) http.Handler {
 	return quiet(http.TimeoutHandler(
--- a/internal/platform/targetlink/client.go
+++ b/internal/platform/targetlink/client.go
@@ -14,7 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 const (
@@ -114,7 +117,9 @@
 		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
 		defer cancel()
 	}
+	ctx, span := tracing.StartChild(ctx, tracing.HopTarget, attribute.String("target", string(t.ID)))
 	a, err := c.call(ctx, t, call)
+	tracing.End(span, err)
 	c.count(err)
 	return a, err
 }
@@ -171,6 +176,7 @@
 	req.Header.Set(HeaderOrganisation, string(call.Organisation))
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	req.Header.Set("Content-Type", "application/octet-stream")
+	tracing.Inject(ctx, req.Header)
 	return req, nil
 }
 
--- a/internal/platform/workerlink/client.go
+++ b/internal/platform/workerlink/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/platform/platformhttp"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // callTimeout bounds every call, in addition to the time that the call itself asks
@@ -26,7 +27,8 @@
 // New returns a client whose traffic is counted in the registry as
 // "worker.bytes_sent" and "worker.bytes_received".
 func New(r metrics.Registry) *Client {
-	return NewWithTransport(platformhttp.NewTransport(platformhttp.NewCounters(r, "worker")))
+	t := platformhttp.NewTransport(platformhttp.NewCounters(r, "worker"))
+	return NewWithTransport(tracing.Transport(tracing.HopWorker, t))
 }
 
 // NewWithTransport returns a client that sends its calls through rt.
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -9,6 +9,7 @@
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // errNotHeld reports that this host does not hold a worker's lease.
@@ -154,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	rec.Trace = tracing.Carry(ctx)
 	if s.Journal.State().Answering {
 		cctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -184,7 +184,7 @@
 	cctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := s.Journal.Append(cctx, journal.StreamJobs, rec); err != nil {
-		s.Logger.Info("shard: move not recorded: " + err.Error())
+		s.Logger.Info("move not recorded: " + err.Error())
 	}
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -240,7 +240,7 @@
 
 func (s *Shard) event(msg string) {
 	s.Board.Events.Add(blackboard.Event{Time: s.Now(), Part: "shard", Message: msg})
-	s.Logger.Info("shard: " + msg)
+	s.Logger.Info(msg)
 }
 
 // pass is one run of the shard's controller: follow the tasks, then plan.
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -6,16 +6,24 @@
 	"fmt"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // startGang carries out one start: hold every member, record the decision, check
 // the evidence, start every member, confirm.
 func (s *Shard) startGang(ctx context.Context, p model.Placement) {
+	if e := s.Jobs.Get(p.Job); e != nil {
+		ctx = tracing.Continue(ctx, e.Trace)
+	}
+	ctx, span := tracing.StartChild(ctx, tracing.HopPlanner, attribute.Stringer("job", p.Job),
+		attribute.Int("attempt", p.Attempt), attribute.Int("members", len(p.Members)))
+	defer span.End()
 	held := s.Now()
 	if failed := s.hold(ctx, &p); len(failed) > 0 {
 		s.dropHolds(ctx, &p)
@@ -118,5 +126,5 @@
 }
 
 func (s *Shard) log(msg string, p *model.Placement, err error) {
-	s.Logger.Info("shard: "+msg, zap.Stringer("job", p.Job), zap.Int("attempt", p.Attempt), zap.Error(err))
+	s.Logger.Info(msg, zap.Stringer("job", p.Job), zap.Int("attempt", p.Attempt), zap.Error(err))
 }
--- a/internal/statetest/cluster_test.go
+++ b/internal/statetest/cluster_test.go
@@ -286,6 +286,10 @@
 	return call(ctx, l, r, (*peerserver.Server).CallOutcome)
 }
 
+func (l *link) Explain(ctx context.Context, r *peer.ExplainRequest) (*peer.ExplainAnswer, error) {
+	return call(ctx, l, r, (*peerserver.Server).Explain)
+}
+
 func parse(data []byte) (*config.Text, error) {
 	t := new(config.Text)
 	return t, json.Unmarshal(data, t)
--- a/internal/statetest/membership_test.go
+++ b/internal/statetest/membership_test.go
@@ -241,6 +241,9 @@
 func (directPeer) CopyRecords(context.Context, *peer.CopyRecordsRequest) (*peer.CopyRecordsAnswer, error) {
 	return nil, errNoAnswer
 }
+func (directPeer) Explain(context.Context, *peer.ExplainRequest) (*peer.ExplainAnswer, error) {
+	return nil, errNoAnswer
+}
 func (directPeer) CallOutcome(context.Context, *peer.CallOutcomeRequest) (*peer.CallOutcomeAnswer, error) {
 	return nil, errNoAnswer
 }
