Serve metrics of every part

Cause: /metrics held only the bytes of the platform's clients. A test compares catalogue, registry, output and page in both directions. Conclusion: operators see what the daemon decides. Bytes between daemons are not counted.

--- a/internal/calls/stats.go
+++ b/internal/calls/stats.go
@@ -2,8 +2,11 @@
 
 import (
 	"sync/atomic"
+	"time"
 
+	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/routing"
 )
 
 // Stats counts what the service did since it was made, for metrics.
@@ -11,6 +14,7 @@
 	Requests    int64 // submissions
 	Answered    int64 // with a whole answer
 	NotRun      int64 // refused or failed for certain
+	Shed        int64 // NotRun because no target was free in time
 	Unknown     int64
 	Ran         int64 // ran, answer not kept
 	Attempts    int64 // calls to targets
@@ -26,7 +30,7 @@
 type counters struct {
 	requests, answered, notRun, unknown, ran    atomic.Int64
 	attempts, retries, intents, followed, asked atomic.Int64
-	settled, lostRecords                        atomic.Int64
+	settled, lostRecords, shed                  atomic.Int64
 }
 
 func (c *counters) count(r result) {
@@ -35,6 +39,9 @@
 		c.answered.Add(1)
 	case r.err.Outcome == model.OutcomeNotRun:
 		c.notRun.Add(1)
+		if r.err.Code == apierror.CodeOverloaded {
+			c.shed.Add(1)
+		}
 	case r.err.Outcome == model.OutcomeRan:
 		c.ran.Add(1)
 	default:
@@ -52,6 +59,7 @@
 		Requests:    c.requests.Load(),
 		Answered:    c.answered.Load(),
 		NotRun:      c.notRun.Load(),
+		Shed:        c.shed.Load(),
 		Unknown:     c.unknown.Load(),
 		Ran:         c.ran.Load(),
 		Attempts:    c.attempts.Load(),
@@ -64,3 +72,11 @@
 		Active:      active,
 	}
 }
+
+// TargetHealth counts the targets by what this host knows of them.
+func (s *Service) TargetHealth() routing.Health {
+	s.gate.refresh()
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	return s.gate.router.Health(time.Now())
+}
--- a/internal/cli/docs.go
+++ b/internal/cli/docs.go
@@ -4,13 +4,14 @@
 	"io"
 
 	"github.com/daisyfold/daisyfold/internal/config"
+	"github.com/daisyfold/daisyfold/internal/metrics"
 	"github.com/daisyfold/daisyfold/internal/settings"
 )
 
 type docsCommand struct {
 	env  *env
 	Args struct {
-		Page string `positional-arg-name:"text-format|settings" required:"yes"`
+		Page string `positional-arg-name:"text-format|settings|metrics" required:"yes"`
 	} `positional-args:"yes"`
 }
 
@@ -25,10 +26,11 @@
 	pages := map[string]func() string{
 		"text-format": config.Reference,
 		"settings":    settings.Reference,
+		"metrics":     metrics.Reference,
 	}
 	page, ok := pages[c.Args.Page]
 	if !ok {
-		return badInput("there is no page %q; the pages are text-format and settings", c.Args.Page)
+		return badInput("there is no page %q; the pages are text-format, settings and metrics", c.Args.Page)
 	}
 	result := docsResult{Page: c.Args.Page, Markdown: page()}
 	return c.env.print(result, func(w io.Writer) { _, _ = io.WriteString(w, result.Markdown) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	d.buildJobs()
 	d.buildCalls()
 	d.buildShards()
+	d.registerMetrics()
 	return d
 }
 
@@ -99,13 +100,18 @@
 
 // appendShare is this host's part of the deployment's appends per second.
 func (d *Daemon) appendShare() float64 {
+	return float64(d.Settings.LogAppendsPerSecond) / float64(max(d.aliveHosts(), 1))
+}
+
+// aliveHosts returns the number of live entry hosts.
+func (d *Daemon) aliveHosts() int {
 	alive := 0
 	for _, m := range d.board.Members.List() {
 		if m.Alive {
 			alive++
 		}
 	}
-	return float64(d.Settings.LogAppendsPerSecond) / float64(max(alive, 1))
+	return alive
 }
 
 func (d *Daemon) buildJobs() {
@@ -134,7 +140,7 @@
 		Journal: d.journal, Copier: d.members, Keeper: d.journal.Copies(),
 		Dialer: d.Outside.Workers, Evidence: d.checker, Owner: d.members.Owner,
 		Guarantees: guaranteesOf, Blocked: d.blockedServices, History: &queue.History{},
-		Pool: d.pool, Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
+		Pool: d.pool, Metrics: shard.NewMetrics(d.Registry), Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
 	})
 }
 
--- a/internal/journal/appender.go
+++ b/internal/journal/appender.go
@@ -270,7 +270,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	s.j.appends.Add(1)
 	_, err := s.j.opts.Log.Append(ctx, string(s.name), data)
+	if err != nil {
+		s.j.failed.Add(1)
+	}
 	if err != nil && errors.Is(err, logservice.ErrNotApplied) {
 		return err
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -64,6 +65,8 @@
 	copies       *CopyStore
 	snapshotters []Snapshotter
 
+	appends, failed atomic.Int64
+
 	mu      sync.Mutex
 	streams map[Stream]*stream
 	stopped bool
@@ -180,6 +183,28 @@
 	return s.seen.find(id)
 }
 
+// Stats counts the appends since the journal was made.
+type Stats struct {
+	Appends int64 // sent to the log service
+	Failed  int64 // failed, or their answer was lost
+}
+
+// Stats returns the counters.
+func (j *LogJournal) Stats() Stats {
+	return Stats{Appends: j.appends.Load(), Failed: j.failed.Load()}
+}
+
+// Waiting returns the number of records that were not read back yet.
+func (j *LogJournal) Waiting() int {
+	n := 0
+	for _, s := range j.registered() {
+		s.mu.Lock()
+		n += len(s.entries)
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // State implements Journal.
 func (j *LogJournal) State() State { return j.health.state() }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,10 +38,15 @@
 	})
 	sort.Strings(names)
 	for _, name := range names {
-		writeOne(w, prefix+strings.NewReplacer(".", "_", "-", "_").Replace(name), all[name])
+		writeOne(w, exported(name), all[name])
 	}
 }
 
+// exported returns the name that scrapers see.
+func exported(name string) string {
+	return prefix + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+}
+
 func writeOne(w io.Writer, name string, m any) {
 	switch m := m.(type) {
 	case gometrics.Counter:
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/daisyfold/daisyfold/internal/blackboard"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/partition"
@@ -21,6 +23,9 @@
 
 // NewManager returns a manager; Run starts it.
 func NewManager(o Options) *Manager {
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(gometrics.NewRegistry())
+	}
 	return &Manager{opts: o, shards: map[model.ShardID]*Shard{}}
 }
 
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -17,11 +17,14 @@
 	ops := s.opsCopy()
 	waiting, foreign := s.candidates(ops)
 	if ok, why := s.planAllowed(o); !ok {
+		s.Metrics.refused.Inc(1)
 		s.noteWhy(waiting, why)
 		return
 	}
 	snap := s.snapshot(o, ops, waiting)
+	began := time.Now()
 	result := planner.Decide(snap)
+	s.Metrics.planned(time.Since(began))
 	s.Jobs.AddReasons(result.Reasons)
 	for _, p := range result.Starts {
 		s.carryOut(p, foreign)
@@ -194,7 +197,7 @@
 	if e == nil || !current(e, pre.Attempt) {
 		return
 	}
-	w := withdrawal{reason: "preempted", checkpoint: pre.Checkpoint}
+	w := withdrawal{cause: causePreempted, reason: "preempted", checkpoint: pre.Checkpoint}
 	if pre.For != (model.JobKey{}) {
 		w.reason = "preempted for job " + pre.For.String()
 	}
--- a/internal/shard/reconcile.go
+++ b/internal/shard/reconcile.go
@@ -43,17 +43,17 @@
 	case g.finished == members:
 		s.launch(key, opFinish, func(ctx context.Context) { s.finish(ctx, e, o) })
 	case g.failed > 0:
-		w := withdrawal{reason: "a task failed: " + g.detail, taskFailed: true}
+		w := withdrawal{cause: causeTaskFailed, reason: "a task failed: " + g.detail, taskFailed: true}
 		tasks := o.tasks[attemptKey{job: key, attempt: e.Job.Attempt}]
 		s.launch(key, opWithdraw, func(ctx context.Context) {
 			s.noteTaskFailures(tasks)
 			s.withdraw(ctx, e, w)
 		})
 	case g.ended > 0 || g.absent > 0:
-		w := withdrawal{reason: "a member stopped"}
+		w := withdrawal{cause: causeMemberStopped, reason: "a member stopped"}
 		s.launch(key, opWithdraw, func(ctx context.Context) { s.withdraw(ctx, e, w) })
 	case g.lost > 0:
-		w := withdrawal{reason: "a worker was lost"}
+		w := withdrawal{cause: causeWorkerLost, reason: "a worker was lost"}
 		s.launch(key, opWithdraw, func(ctx context.Context) { s.withdraw(ctx, e, w) })
 	case g.pending > 0:
 		// The tasks of a worker that is being acquired are not known yet.
@@ -153,7 +153,7 @@
 func (s *Shard) confirmFound(ctx context.Context, e *jobs.Entry) {
 	p := e.Job.Placement
 	if err := s.confirm(ctx, p); err != nil {
-		s.withdraw(ctx, e, withdrawal{reason: "the start could not be confirmed"})
+		s.withdraw(ctx, e, withdrawal{cause: causeNotConfirmed, reason: "the start could not be confirmed"})
 		return
 	}
 	s.recordRunning(ctx, p)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -41,6 +41,8 @@
 	Blocked func() map[model.Service]model.Service
 	History *queue.History
 	Pool    *controller.Pool
+	// Metrics may be nil: nothing is then served.
+	Metrics *Metrics
 	Logger  *zap.Logger
 	Now     func() time.Time
 	NewID   func() string
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -24,6 +24,7 @@
 	ctx, span := tracing.StartChild(ctx, tracing.HopPlanner, attribute.Stringer("job", p.Job),
 		attribute.Int("attempt", p.Attempt), attribute.Int("members", len(p.Members)))
 	defer span.End()
+	s.Metrics.begun.Inc(1)
 	held := s.Now()
 	if failed := s.hold(ctx, &p); len(failed) > 0 {
 		s.dropHolds(ctx, &p)
@@ -36,19 +37,22 @@
 	}
 	e := s.Jobs.Get(p.Job)
 	if why, ok := s.startMayGoOn(ctx, &p, held); !ok {
-		s.withdraw(ctx, e, withdrawal{reason: why, neverStarted: true})
+		s.withdraw(ctx, e, withdrawal{cause: causeNotStarted, reason: why, neverStarted: true})
 		return
 	}
 	failed := s.startMembers(ctx, &p, &e.Job.Spec, e.Job.ServedMS)
 	s.noteStartFailures(failed)
 	if len(failed) > 0 {
-		s.withdraw(ctx, e, withdrawal{reason: "a member did not start: " + first(failed).Error()})
+		s.withdraw(ctx, e, withdrawal{
+			cause: causeMemberNotStarted, reason: "a member did not start: " + first(failed).Error(),
+		})
 		return
 	}
 	if err := s.confirm(ctx, &p); err != nil {
-		s.withdraw(ctx, e, withdrawal{reason: "the start could not be confirmed"})
+		s.withdraw(ctx, e, withdrawal{cause: causeNotConfirmed, reason: "the start could not be confirmed"})
 		return
 	}
+	s.Metrics.done.Inc(1)
 	s.recordRunning(ctx, &p)
 }
 
--- a/internal/shard/withdraw.go
+++ b/internal/shard/withdraw.go
@@ -12,6 +12,7 @@
 
 // withdrawal says why and how an attempt ends before the job is finished.
 type withdrawal struct {
+	cause      cause
 	reason     string
 	checkpoint bool
 	taskFailed bool
@@ -97,5 +98,6 @@
 			l.forget(p.Job, p.Attempt)
 		}
 	}
+	s.Metrics.withdrawn[w.cause].Inc(1)
 	s.event(fmt.Sprintf("attempt %d of job %s was withdrawn: %s", p.Attempt, p.Job, body.Reason))
 }
