--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -171,6 +171,8 @@
 	var out strings.Builder
 	writeStatus(&out, status)
 	table(&out, jobRows(jobs))
+	writeReasons(&out, []api.Reason{{Code: "no_free_shape", Detail: strings.Repeat("word ", 40)}, {Code: "placed"}})
+	writeReasons(&out, nil)
 	for _, l := range strings.Split(out.String(), "\n") {
 		if len(l) > lineWidth {
 			t.Errorf("%d columns: %s", len(l), l)
--- a/internal/cli/failure.go
+++ b/internal/cli/failure.go
@@ -109,7 +109,7 @@
 		}
 	}
 	line := fmt.Sprintf("daisyfold: %s (%s): %s", f.Outcome, f.Code, f.Message)
-	for _, l := range wrap(line, "  ") {
+	for _, l := range wrap(line, "", "  ") {
 		_, _ = fmt.Fprintln(e.stderr, l)
 	}
 	for _, finding := range f.Findings {
--- a/internal/cli/job_explain.go
+++ b/internal/cli/job_explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 
 	"github.com/daisyfold/daisyfold/internal/api"
 )
@@ -22,8 +23,22 @@
 	}
 	return c.env.print(explanation, func(w io.Writer) {
 		writeJob(w, &explanation.Job)
-		for _, r := range explanation.Reasons {
-			line(w, "%s %s: %s", unixTime(r.UnixMS), r.Code, r.Detail)
-		}
+		writeReasons(w, explanation.Reasons)
 	})
 }
+
+// writeReasons writes one line for each reason, oldest first.
+func writeReasons(w io.Writer, reasons []api.Reason) {
+	if len(reasons) == 0 {
+		line(w, "the planner's host has noted no decision on it")
+		return
+	}
+	line(w, "decisions of the planner, oldest first:")
+	for _, r := range reasons {
+		text := strings.ReplaceAll(r.Code, "_", " ")
+		if r.Detail != "" {
+			text += ": " + r.Detail
+		}
+		line(w, "  %s %s", unixTime(r.UnixMS), text)
+	}
+}
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -31,10 +31,7 @@
 func line(w io.Writer, format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	indent := text[:len(text)-len(strings.TrimLeft(text, " "))]
-	for i, l := range wrap(text, indent+"  ") {
-		if i == 0 {
-			l = indent + l
-		}
+	for _, l := range wrap(text, indent, indent+"  ") {
 		_, _ = fmt.Fprintln(w, l)
 	}
 }
@@ -48,15 +45,15 @@
 	_ = tw.Flush()
 }
 
-// wrap breaks a line at spaces so that it fits the width. Lines after the first start
-// with indent.
-func wrap(s, indent string) []string {
+// wrap breaks a line at spaces so that it fits the width. The first line starts with
+// first and the others with indent.
+func wrap(s, first, indent string) []string {
 	var lines []string
 	current := ""
 	for _, word := range strings.Fields(s) {
 		switch {
 		case current == "":
-			current = word
+			current = first + word
 		case len(current)+1+len(word) > lineWidth:
 			lines = append(lines, current)
 			current = indent + word
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -27,6 +27,11 @@
 		ifTrue(s.Leaving, ", leaving"), ifTrue(!s.LogReachable, ", log unreachable"))
 	_, _ = fmt.Fprintln(w)
 	table(w, zoneRows(s.Zones))
+	for _, z := range s.Zones {
+		if z.Zone == s.Zone {
+			line(w, "start evidence in %s: %s", z.Zone, z.Evidence)
+		}
+	}
 	_, _ = fmt.Fprintln(w)
 	table(w, organisationRows(s.Organisations))
 	_, _ = fmt.Fprintln(w)
@@ -44,12 +49,12 @@
 }
 
 func zoneRows(zones []api.ZoneStatus) [][]string {
-	rows := [][]string{{"ZONE", "SERVICE", "WORKERS", "TARGETS", "FREE", "FRAGMENTED", "EVIDENCE"}}
+	rows := [][]string{{"ZONE", "SERVICE", "WORKERS", "TARGETS", "FREE", "FRAGMENTED"}}
 	for _, z := range zones {
 		rows = append(rows, []string{
-			cut(z.Zone, 14), either(z.InService, "in", "out"), strconv.Itoa(z.Workers), strconv.Itoa(z.Targets),
+			cut(z.Zone, 30), either(z.InService, "in", "out"), strconv.Itoa(z.Workers), strconv.Itoa(z.Targets),
 			fmt.Sprintf("%d/%d", z.AcceleratorsFree.Or(0), z.AcceleratorsTotal.Or(0)),
-			fmt.Sprintf("%.0f %%", 100*z.Fragmentation.Or(0)), cut(z.Evidence, 14),
+			fmt.Sprintf("%.0f %%", 100*z.Fragmentation.Or(0)),
 		})
 	}
 	return rows
--- a/internal/cli/zone.go
+++ b/internal/cli/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/daisyfold/daisyfold/internal/api"
@@ -43,6 +44,10 @@
 	}
 	result := zoneResult{ID: change.ID, State: string(answer.State), Version: answer.Version}
 	return c.env.print(result, func(w io.Writer) {
-		line(w, "zone %s: the change is %s, version %d", c.Args.Zone, result.State, result.Version)
+		version := ""
+		if result.Version > 0 { // a pending change has none yet
+			version = fmt.Sprintf(", version %d", result.Version)
+		}
+		line(w, "zone %s: the change is %s%s", c.Args.Zone, result.State, version)
 	})
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/daisyfold/daisyfold/internal/apiserver"
@@ -25,6 +26,8 @@
 // serve starts the API for callers and the one for peers.
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, apiL, peerL net.Listener) servers {
 	s := servers{api: d.apiServer(), peer: d.peerServer()}
+	s.api.ErrorLog = zap.NewStdLog(d.part("api"))
+	s.peer.ErrorLog = zap.NewStdLog(d.part("peer"))
 	g.Go(func() error { return serveOne(s.api, apiL) })
 	g.Go(func() error { return serveOne(s.peer, peerL) })
 	g.Go(func() error {
--- a/internal/daemon/trace_test.go
+++ b/internal/daemon/trace_test.go
@@ -206,7 +206,7 @@
 	defer cancel()
 	p := startPair(t)
 	p.publish(ctx)
-	once := regexp.MustCompile(`^(daemon|journal|membership|configsync|jobs|shard): `)
+	once := regexp.MustCompile(`^(daemon|journal|membership|configsync|jobs|shard|api|peer): `)
 	seen := map[string]bool{}
 	for _, e := range p.logs.All() {
 		part := once.FindString(e.Message)
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -29,7 +29,7 @@
 	{"calls.shed", "calls", "Refused with code `overloaded`: no target was free in time."},
 	{"calls.unknown", "calls", "Ended with `unknown`."},
 	{"config.version", "version", "Version in force at this host; 0 means none. It is the same on all hosts within seconds."},
-	{"evidence.ok", "0 or 1", "1 while this host may start tasks in its zone as far as its start evidence goes."},
+	{"evidence.ok", "0 or 1", "1 while this host may start tasks in its zone. 0 without a fresh reading of the configuration, and while the zone is out or a change that takes it out is pending."},
 	{"hostlist.bytes_received", "bytes", "From the host list, headers included."},
 	{"hostlist.bytes_sent", "bytes", "To the host list, headers included."},
 	{"jobs.cancelled", "jobs", "Cancelled in the last hour."},
