--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/apiserver"
 	"github.com/daisyfold/daisyfold/internal/blackboard"
+	"github.com/daisyfold/daisyfold/internal/jobs"
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/metrics"
 	"github.com/daisyfold/daisyfold/internal/peerserver"
@@ -65,13 +66,21 @@
 func (d *Daemon) peerServer() *http.Server {
 	srv := &peerserver.Server{
 		Members: d.members, Configs: d.sync, Copies: copies{d}, Outcomes: outcomes{d.calls},
-		Reasons: d.table,
+		Reasons: d.table, Relay: relay{d.jobs},
 	}
 	s := peerserver.NewHTTPServer(tracing.ChildMiddleware(tracing.HopPeer, peerserver.Handler(srv)))
 	s.TLSConfig = d.Outside.PeerTLS
 	return s
 }
 
+// relay appends records for peers.
+type relay struct{ jobs *jobs.Service }
+
+// Relay implements peerserver.Relay.
+func (r relay) Relay(ctx context.Context, rec journal.StreamRecord) (recorded, won bool) {
+	return r.jobs.RelayFor(ctx, rec)
+}
+
 // copies stores records for peers and lets this host act on them at once.
 type copies struct{ d *Daemon }
 
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -97,6 +97,10 @@
 // Placement.Shard is the job's home.
 type JobPlaced struct {
 	Placement model.Placement `json:"placement"`
+	// Outage is set when the decision was taken while the log was down for
+	// everyone in contact. It counts although the job was moved since, because its
+	// tasks may have run, and it may stand in the log after its successors.
+	Outage bool `json:"outage,omitempty"`
 }
 
 // JobRunning says that every member of an attempt started.
@@ -144,9 +148,12 @@
 
 // JobSnapshot repeats a live job before retention ends.
 type JobSnapshot struct {
-	Job           model.Job `json:"job"`
-	Move          int       `json:"move"`
-	ThroughOffset int64     `json:"throughOffset"`
+	Job           model.Job    `json:"job"`
+	Move          int          `json:"move"`
+	Failures      int          `json:"failures,omitempty"`
+	PlacedRecord  string       `json:"placedRecord,omitempty"`
+	PlacedBy      model.HostID `json:"placedBy,omitempty"`
+	ThroughOffset int64        `json:"throughOffset"`
 }
 
 // CallIntent is written before a non-repeatable request is sent to a target. The
--- a/internal/shard/metrics.go
+++ b/internal/shard/metrics.go
@@ -52,3 +52,11 @@
 }
 
 func (m *Metrics) planned(took time.Duration) { m.planTime.Update(took.Microseconds()) }
+
+// withdrew counts a withdrawal. A withdrawal without a cause is a fault of the code, for
+// which no planner should end.
+func (m *Metrics) withdrew(c cause) {
+	if counter := m.withdrawn[c]; counter != nil {
+		counter.Inc(1)
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -31,6 +31,7 @@
 	Journal  journal.Journal
 	Copier   jobs.Copier
 	Keeper   jobs.Keeper
+	Relay    jobs.Relay
 	Dialer   workerlink.Dialer
 	Evidence Evidence
 	// Owner returns the host that should plan a shard, as membership sees it.
@@ -70,13 +71,21 @@
 	began   time.Time
 	handle  *controller.Handle
 	acquire chan struct{}
+	// observed are the tasks of the last observation and observedAt the changes that
+	// they cover. Only the shard's pass uses them.
+	observed   map[attemptKey]map[int]workerlink.Task
+	observedAt uint64
 
 	mu      sync.Mutex
 	links   map[model.WorkerID]*link
 	ops     map[model.JobKey]opKind
 	orphans map[attemptKey]time.Time // since when tasks of unknown jobs are seen
 	lastWhy string
-	queued  bool
+	// refused holds jobs whose placement lost, until when they are left alone.
+	refused map[model.JobKey]time.Time
+	// outageEnd is when the log was last seen not to answer.
+	outageEnd time.Time
+	queued    bool
 	// draining is set when no new operation may begin.
 	draining bool
 	opsDone  sync.WaitGroup
@@ -95,6 +104,7 @@
 		links:   map[model.WorkerID]*link{},
 		ops:     map[model.JobKey]opKind{},
 		orphans: map[attemptKey]time.Time{},
+		refused: map[model.JobKey]time.Time{},
 	}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.handle = o.Pool.Register("shard "+p.ID.String(), planInterval, s.pass)
@@ -108,15 +118,31 @@
 func (s *Shard) setWorkers(workers []model.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	listed := map[model.WorkerID]bool{}
 	for _, w := range workers {
+		listed[w.ID] = true
 		l := s.links[w.ID]
 		if l == nil {
-			l = newLink(w, s.Dialer.Worker(w), s.Host, s.Now, s.acquire, s.trigger)
-			s.links[w.ID] = l
-			s.goRun(l.run)
+			l = s.addLink(w)
 		}
 		l.setLeaving(w.Health == model.WorkerLeaving)
 	}
+	for id, l := range s.links {
+		if !listed[id] && l.idle() {
+			l.cancel()
+			delete(s.links, id)
+		}
+	}
+}
+
+// addLink starts a link. The caller holds s.mu.
+func (s *Shard) addLink(w model.Worker) *link {
+	l := newLink(w, s.Dialer.Worker(w), s.Host, s.Now, s.acquire, s.trigger)
+	ctx, cancel := context.WithCancel(s.ctx)
+	l.cancel = cancel
+	s.links[w.ID] = l
+	s.goRun(func(context.Context) { l.run(ctx) })
+	return l
 }
 
 func (s *Shard) goRun(f func(context.Context)) {
--- a/internal/shard/withdraw.go
+++ b/internal/shard/withdraw.go
@@ -98,6 +98,6 @@
 			l.forget(p.Job, p.Attempt)
 		}
 	}
-	s.Metrics.withdrawn[w.cause].Inc(1)
+	s.Metrics.withdrew(w.cause)
 	s.event(fmt.Sprintf("attempt %d of job %s was withdrawn: %s", p.Attempt, p.Job, body.Reason))
 }
