Count the bytes between daemons

Cause: the bytes of heartbeats and other peer calls, a part of the overhead that the design bounds, were not counted.

--- a/internal/auth/tls.go
+++ b/internal/auth/tls.go
@@ -140,6 +140,7 @@
 type PeerTLS struct {
 	Server *tls.Config
 	Dial   DialFunc
+	client func(address string) (*tls.Config, error)
 }
 
 // NewPeerTLS returns mutual TLS between daemons, or nil when the settings ask for
@@ -156,7 +157,9 @@
 	if err := trace.NewAggregate(certErr, poolErr); err != nil {
 		return nil, trace.Wrap(err, "certificates between daemons")
 	}
-	return &PeerTLS{Server: peerServer(certs, pools), Dial: peerDialer(certs, pools)}, nil
+	p := &PeerTLS{Server: peerServer(certs, pools), client: peerClient(certs, pools)}
+	p.Dial = p.Over((&net.Dialer{}).DialContext)
+	return p, nil
 }
 
 // peerDialTimeout bounds the opening of a connection, the handshake included.
@@ -187,20 +190,46 @@
 	return server
 }
 
-// peerDialer returns a dialer that verifies the server's certificate and address against
-// the authorities as they stand at each connection.
-func peerDialer(certs *reloader[*tls.Certificate], pools *reloader[*x509.CertPool]) DialFunc {
+// Over returns Dial over connections that dial opens.
+func (p *PeerTLS) Over(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+		defer cancel()
+		config, err := p.client(address)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		plain, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(plain, config)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = plain.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+// peerClient returns the client's side for the server at an address. It verifies the
+// server's certificate and address against the authorities as they stand at the call.
+func peerClient(certs *reloader[*tls.Certificate], pools *reloader[*x509.CertPool]) func(string) (*tls.Config, error) {
+	return func(address string) (*tls.Config, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
 		pool, err := pools.get()
 		if err != nil {
 			return nil, err
 		}
-		dialer := &tls.Dialer{NetDialer: &net.Dialer{Timeout: peerDialTimeout}, Config: &tls.Config{
+		return &tls.Config{
 			MinVersion:           tls.VersionTLS13,
 			NextProtos:           peerProtocols,
+			ServerName:           host,
 			RootCAs:              pool,
 			GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return certs.get() },
-		}}
-		return dialer.DialContext(ctx, network, address)
+		}, nil
 	}
 }
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -18,6 +18,7 @@
 	"github.com/daisyfold/daisyfold/internal/membership"
 	"github.com/daisyfold/daisyfold/internal/platform/hostlist"
 	"github.com/daisyfold/daisyfold/internal/platform/logservice"
+	"github.com/daisyfold/daisyfold/internal/platform/platformhttp"
 	"github.com/daisyfold/daisyfold/internal/platform/targetlink"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
 	"github.com/daisyfold/daisyfold/internal/rpc/peer"
@@ -38,6 +39,9 @@
 // controllerWorkers is the size of the pool that runs controllers.
 const controllerWorkers = 4
 
+// peerBytes begins the names of the counters of bytes between daemons.
+const peerBytes = "peer"
+
 // Outside is what the daemon reaches outside its process. Tests replace it.
 type Outside struct {
 	Log     logservice.Log
@@ -77,19 +81,26 @@
 	if o.CallerTLS, err = auth.CallerTLS(s.TLS); err != nil {
 		return Outside{}, trace.Wrap(err)
 	}
-	return o, trace.Wrap(o.secure(s))
+	return o, trace.Wrap(o.secure(s, platformhttp.NewCounters(r, peerBytes)))
 }
 
 // secure sets up the connections between daemons in both directions.
-func (o *Outside) secure(s *settings.Settings) error {
+func (o *Outside) secure(s *settings.Settings, bytes platformhttp.Counters) error {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := membership.DialTCP(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return bytes.Count(conn), nil
+	}
 	peers, err := auth.NewPeerTLS(s.TLS)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	transport := membership.PlainTransport
+	transport := func() http.RoundTripper { return membership.HTTPTransport(dial) }
 	if peers != nil {
 		o.PeerTLS = peers.Server
-		transport = func() http.RoundTripper { return membership.TLSTransport(peers.Dial) }
+		transport = func() http.RoundTripper { return membership.TLSTransport(peers.Over(dial)) }
 	}
 	o.Dial = func(address string) peer.Peer {
 		return membership.Client(address, tracing.Transport(tracing.HopPeer, transport()))
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -16,6 +16,7 @@
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/metrics"
 	"github.com/daisyfold/daisyfold/internal/peerserver"
+	"github.com/daisyfold/daisyfold/internal/platform/platformhttp"
 	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
@@ -30,7 +31,8 @@
 	s.api.ErrorLog = zap.NewStdLog(d.part("api"))
 	s.peer.ErrorLog = zap.NewStdLog(d.part("peer"))
 	g.Go(func() error { return serveOne(s.api, apiL) })
-	g.Go(func() error { return serveOne(s.peer, peerL) })
+	counted := platformhttp.NewCounters(d.Registry, peerBytes).Listener(peerL)
+	g.Go(func() error { return serveOne(s.peer, counted) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return errors.Join(s.api.Close(), s.peer.Close())
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -141,6 +141,9 @@
 	if !heard(client, "brest-1") {
 		t.Error("a peer of the same authority was not answered")
 	}
+	if client.Registry.Get("peer.bytes_sent").(gometrics.Counter).Count() == 0 {
+		t.Error("the bytes of a heartbeat were not counted")
+	}
 	stranger := startSecure(t, "brest-3", newAuthority(t).issue("brest-3", 12), peerOf)
 	stranger.members.Announce(t.Context())
 	if heard(stranger, "brest-1") {
--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -24,12 +24,12 @@
 // DialHTTP returns a client that speaks unencrypted HTTP/2: its compressed headers
 // are a tenth of those of HTTP/1.1 and would otherwise be most of a heartbeat.
 func DialHTTP(address string) peer.Peer {
-	return Client(address, PlainTransport())
+	return DialHTTPOver(address, DialTCP)
 }
 
-// PlainTransport returns the transport of one peer over unencrypted TCP connections.
-func PlainTransport() http.RoundTripper {
-	return HTTPTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
+// DialTCP opens a TCP connection to a peer.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 }
 
 // Dial opens a connection.
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -47,6 +47,8 @@
 	{"log.reachable", "0 or 1", "1 while reads of the log service are answered in time."},
 	{"members.alive", "hosts", "Entry hosts that this host sees alive, itself included."},
 	{"members.known", "hosts", "Entry hosts that this host knows."},
+	{"peer.bytes_received", "bytes", "From the other daemons in both directions of calls, headers and TLS included."},
+	{"peer.bytes_sent", "bytes", "To the other daemons in both directions of calls, headers and TLS included."},
 	{"plan.refused", "plans", "Plans in which nothing may start: no evidence, too few workers, or the zone is out."},
 	{"plan.time", "microseconds", "Time of one decision of the planner; bound 5,000 at the 99th percentile."},
 	{"shards.owned", "shards", "Shards that this host plans."},
--- a/internal/platform/platformhttp/transport.go
+++ b/internal/platform/platformhttp/transport.go
@@ -52,7 +52,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn, counters: c}, nil
+			return c.Count(conn), nil
 		},
 		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    maxIdle,
@@ -64,6 +64,26 @@
 	}
 }
 
+// Count returns conn with its traffic added to c.
+func (c Counters) Count(conn net.Conn) net.Conn { return &countedConn{Conn: conn, counters: c} }
+
+// Listener returns l with the traffic of its connections added to c.
+func (c Counters) Listener(l net.Listener) net.Listener { return countedListener{l, c} }
+
+type countedListener struct {
+	net.Listener
+	counters Counters
+}
+
+// Accept implements net.Listener.
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.counters.Count(conn), nil
+}
+
 // countedConn adds the bytes of a connection to counters.
 type countedConn struct {
 	net.Conn
