Share the certificates of tests

Cause: two test files held the same code that makes authorities and certificates. Change: internal/auth/authtest makes them for internal/auth and internal/daemon. The cases and checks of both are unchanged.

--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -2,26 +2,16 @@
 
 import (
 	"bytes"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
 	"log"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
+	"github.com/daisyfold/daisyfold/internal/auth/authtest"
 	"github.com/daisyfold/daisyfold/internal/config"
-	"github.com/daisyfold/daisyfold/internal/settings"
 )
 
 // TestIdentify guards against keys that open another organisation or nothing at all.
@@ -51,80 +41,11 @@
 	}
 }
 
-// authority signs certificates for tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &authority{cert, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
-}
-
-// issue writes a certificate for ip with the given serial, and returns the settings.
-func (a *authority) issue(t *testing.T, dir, ip string, serial int64) settings.TLS {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.ParseIP(ip)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
-	write := func(name string, data []byte) string {
-		file := filepath.Join(dir, name)
-		if err := os.WriteFile(file, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		// The modification time is set so that the change does not depend on the
-		// resolution of the file system's clock.
-		changed := time.Unix(1_700_000_000+serial, 0)
-		if err := os.Chtimes(file, changed, changed); err != nil {
-			t.Fatal(err)
-		}
-		return file
-	}
-	certFile := write("cert.pem", cert)
-	keyFile := write("key.pem", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}))
-	return settings.TLS{
-		CertFile: certFile, KeyFile: keyFile,
-		PeerCertFile: certFile, PeerKeyFile: keyFile, PeerCAFile: write("ca.pem", a.pem),
-	}
-}
-
 // TestReload guards against daemons that need a restart for a new certificate, and
 // against a broken file that takes the good certificate away.
 func TestReload(t *testing.T) {
-	a, dir := newAuthority(t), t.TempDir()
-	files := a.issue(t, dir, "127.0.0.1", 10)
+	a := authtest.New(t)
+	files := a.Issue("host", "127.0.0.1", 10)
 	server, err := CallerTLS(files)
 	if err != nil {
 		t.Fatal(err)
@@ -139,7 +60,7 @@
 	if got := serial(); got != 10 {
 		t.Errorf("got serial %d, want 10", got)
 	}
-	a.issue(t, dir, "127.0.0.1", 11)
+	a.Issue("host", "127.0.0.1", 11)
 	if got := serial(); got != 11 {
 		t.Errorf("got serial %d after the change, want 11", got)
 	}
@@ -154,7 +75,7 @@
 // TestPeerTLS guards against daemons that accept peers of another authority, callers
 // without a certificate, or a server whose certificate is for another address.
 func TestPeerTLS(t *testing.T) {
-	a, other := newAuthority(t), newAuthority(t)
+	a, other := authtest.New(t), authtest.New(t)
 	good := peers(t, a, "127.0.0.1")
 	server := startPeer(t, good)
 	cases := []struct {
@@ -184,9 +105,9 @@
 	}
 }
 
-func peers(t *testing.T, a *authority, ip string) *PeerTLS {
+func peers(t *testing.T, a *authtest.Authority, ip string) *PeerTLS {
 	t.Helper()
-	both, err := NewPeerTLS(a.issue(t, t.TempDir(), ip, 20))
+	both, err := NewPeerTLS(a.Issue("host-"+ip, ip, 20))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -2,25 +2,18 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
 	"log"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/daisyfold/daisyfold/internal/auth/authtest"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/settings"
 )
@@ -33,53 +26,6 @@
 	return v
 }
 
-// authority signs certificates for tests.
-type authority struct {
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour),
-	}
-	a := &authority{dir: t.TempDir(), key: must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))}
-	der := must(x509.CreateCertificate(rand.Reader, template, template, a.key.Public(), a.key))
-	a.cert = must(x509.ParseCertificate(der))
-	a.write("ca.pem", "CERTIFICATE", der, 1)
-	return a
-}
-
-// write stores a PEM file whose modification time follows from serial, so that a
-// replacement does not depend on the resolution of the file system's clock.
-func (a *authority) write(name, kind string, der []byte, serial int64) string {
-	file := filepath.Join(a.dir, name)
-	must(0, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-	changed := time.Unix(1_700_000_000+serial, 0)
-	must(0, os.Chtimes(file, changed, changed))
-	return file
-}
-
-// issue writes a host's certificate for 127.0.0.1 and returns the settings.
-func (a *authority) issue(host string, serial int64) settings.TLS {
-	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der := must(x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key))
-	keyFile := a.write(host+"-key.pem", "PRIVATE KEY", must(x509.MarshalPKCS8PrivateKey(key)), serial)
-	certFile := a.write(host+".pem", "CERTIFICATE", der, serial)
-	return settings.TLS{
-		CertFile: certFile, KeyFile: keyFile,
-		PeerCertFile: certFile, PeerKeyFile: keyFile, PeerCAFile: filepath.Join(a.dir, "ca.pem"),
-	}
-}
-
 // secureHost is a daemon whose listeners serve and whose loops do not run.
 type secureHost struct {
 	*Daemon
@@ -133,10 +79,10 @@
 // speak plain HTTP/1.1 or HTTP to each other although certificates are set, and that
 // answer a client without a certificate or of another authority.
 func TestMutualTLS(t *testing.T) {
-	a := newAuthority(t)
-	server := startSecure(t, "brest-1", a.issue("brest-1", 10))
+	a := authtest.New(t)
+	server := startSecure(t, "brest-1", a.Issue("brest-1", "127.0.0.1", 10))
 	peerOf := settings.Peer{Host: "brest-1", Zone: "brest", Address: "https://" + server.peer}
-	client := startSecure(t, "brest-2", a.issue("brest-2", 11), peerOf)
+	client := startSecure(t, "brest-2", a.Issue("brest-2", "127.0.0.1", 11), peerOf)
 	client.members.Announce(t.Context())
 	if !heard(client, "brest-1") {
 		t.Error("a peer of the same authority was not answered")
@@ -144,7 +90,7 @@
 	if client.Registry.Get("peer.bytes_sent").(gometrics.Counter).Count() == 0 {
 		t.Error("the bytes of a heartbeat were not counted")
 	}
-	stranger := startSecure(t, "brest-3", newAuthority(t).issue("brest-3", 12), peerOf)
+	stranger := startSecure(t, "brest-3", authtest.New(t).Issue("brest-3", "127.0.0.1", 12), peerOf)
 	stranger.members.Announce(t.Context())
 	if heard(stranger, "brest-1") {
 		t.Error("a peer of another authority was answered")
@@ -165,13 +111,13 @@
 // TestTLSReplaced guards against daemons that need a restart for a new certificate, on
 // either listener, and against API listeners that fall back to plain HTTP.
 func TestTLSReplaced(t *testing.T) {
-	a := newAuthority(t)
-	server := startSecure(t, "brest-1", a.issue("brest-1", 20))
+	a := authtest.New(t)
+	server := startSecure(t, "brest-1", a.Issue("brest-1", "127.0.0.1", 20))
 	pool := x509.NewCertPool()
-	pool.AddCert(a.cert)
+	pool.AddCert(a.Cert)
 	c := &tls.Config{RootCAs: pool, NextProtos: []string{"h2"}}
 	for _, serial := range []int64{20, 21} {
-		a.issue("brest-1", serial)
+		a.Issue("brest-1", "127.0.0.1", serial)
 		if got := served(t, server.api, c); got != serial {
 			t.Errorf("callers see serial %d, want %d", got, serial)
 		}
@@ -186,9 +132,9 @@
 	}
 	_ = resp.Body.Close()
 	peers := []settings.Peer{{Host: "brest-1", Zone: "brest", Address: "https://" + server.peer}}
-	files := a.issue("brest-2", 30)
+	files := a.Issue("brest-2", "127.0.0.1", 30)
 	client := startSecure(t, "brest-2", files, peers...)
-	a.issue("brest-2", 31)
+	a.Issue("brest-2", "127.0.0.1", 31)
 	client.members.Announce(context.Background())
 	if !heard(client, "brest-1") {
 		t.Error("a peer with a replaced certificate was not answered")
@@ -198,7 +144,7 @@
 // TestBrokenCertificate guards against a daemon that serves plain HTTP because its
 // certificate cannot be read.
 func TestBrokenCertificate(t *testing.T) {
-	files := newAuthority(t).issue("brest-1", 40)
+	files := authtest.New(t).Issue("brest-1", "127.0.0.1", 40)
 	must(0, os.WriteFile(files.CertFile, []byte("broken"), 0o600))
 	s := &settings.Settings{TLS: settings.TLS{CertFile: files.CertFile, KeyFile: files.KeyFile}}
 	if _, err := Network(s, gometrics.NewRegistry(), nil); err == nil {
