--- a/internal/auth/tls.go
+++ b/internal/auth/tls.go
@@ -135,10 +135,12 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // PeerTLS holds the two sides of mutual TLS between daemons: Server is for the
-// listener, Dial for http.Transport.DialTLSContext.
+// listener, Dial for http.Transport.DialTLSContext. Both sides negotiate HTTP/2, so
+// the transport must speak it.
 type PeerTLS struct {
 	Server *tls.Config
 	Dial   DialFunc
+	client func(address string) (*tls.Config, error)
 }
 
 // NewPeerTLS returns mutual TLS between daemons, or nil when the settings ask for
@@ -155,14 +157,24 @@
 	if err := trace.NewAggregate(certErr, poolErr); err != nil {
 		return nil, trace.Wrap(err, "certificates between daemons")
 	}
-	return &PeerTLS{Server: peerServer(certs, pools), Dial: peerDialer(certs, pools)}, nil
+	p := &PeerTLS{Server: peerServer(certs, pools), client: peerClient(certs, pools)}
+	p.Dial = p.Over((&net.Dialer{}).DialContext)
+	return p, nil
 }
 
+// peerDialTimeout bounds the opening of a connection, the handshake included.
+const peerDialTimeout = time.Second
+
+// peerProtocols are negotiated between daemons: HTTP/2, because its compressed headers
+// are a tenth of those of HTTP/1.1.
+var peerProtocols = []string{"h2"}
+
 // peerServer verifies clients against the authorities as they stand at each handshake.
 func peerServer(certs *reloader[*tls.Certificate], pools *reloader[*x509.CertPool]) *tls.Config {
 	base := &tls.Config{
 		MinVersion:     tls.VersionTLS13,
 		ClientAuth:     tls.RequireAndVerifyClientCert,
+		NextProtos:     peerProtocols,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return certs.get() },
 	}
 	server := base.Clone()
@@ -178,19 +190,46 @@
 	return server
 }
 
-// peerDialer returns a dialer that verifies the server's certificate and address against
-// the authorities as they stand at each connection.
-func peerDialer(certs *reloader[*tls.Certificate], pools *reloader[*x509.CertPool]) DialFunc {
+// Over returns Dial over connections that dial opens.
+func (p *PeerTLS) Over(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+		defer cancel()
+		config, err := p.client(address)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		plain, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(plain, config)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = plain.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+// peerClient returns the client's side for the server at an address. It verifies the
+// server's certificate and address against the authorities as they stand at the call.
+func peerClient(certs *reloader[*tls.Certificate], pools *reloader[*x509.CertPool]) func(string) (*tls.Config, error) {
+	return func(address string) (*tls.Config, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
 		pool, err := pools.get()
 		if err != nil {
 			return nil, err
 		}
-		dialer := &tls.Dialer{Config: &tls.Config{
+		return &tls.Config{
 			MinVersion:           tls.VersionTLS13,
+			NextProtos:           peerProtocols,
+			ServerName:           host,
 			RootCAs:              pool,
 			GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return certs.get() },
-		}}
-		return dialer.DialContext(ctx, network, address)
+		}, nil
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	calls   *calls.Service
 	shards  *shard.Manager
 	pool    *controller.Pool
+	log     *zap.Logger // of the part "daemon"
 	leaving chan struct{}
 	stopped atomic.Bool
 }
@@ -45,11 +47,13 @@
 func New(o Options) *Daemon {
 	o.setDefaults()
 	d := &Daemon{Options: o, board: blackboard.New(), leaving: make(chan struct{})}
+	d.log = d.part("daemon")
 	d.pool = controller.NewPool(controllerWorkers)
 	d.buildAgreement()
 	d.buildJobs()
 	d.buildCalls()
 	d.buildShards()
+	d.registerMetrics()
 	return d
 }
 
@@ -60,20 +64,24 @@
 	s := d.Settings
 	d.journal = journal.New(journal.Options{
 		Log: d.Outside.Log, Host: s.Host, Now: d.Now,
-		AppendsPerSecond: d.appendShare, Retention: s.Retention(), Logger: d.Logger,
+		AppendsPerSecond: d.appendShare, Retention: s.Retention(), Logger: d.part("journal"),
 	})
-	self := membership.Peer{Host: s.Host, Zone: s.Zone, Address: "http://" + s.Listen.Peer}
+	scheme := "http://"
+	if d.Outside.PeerTLS != nil {
+		scheme = "https://"
+	}
+	self := membership.Peer{Host: s.Host, Zone: s.Zone, Address: scheme + s.Listen.Peer}
 	var peers []membership.Peer
 	for _, p := range s.Peers {
 		peers = append(peers, membership.Peer{Host: p.Host, Zone: p.Zone, Address: p.Address})
 	}
 	d.members = membership.New(membership.Options{
 		Self: self, Peers: peers, Members: &d.board.Members, Hosts: &d.board.Hosts,
-		Dial: d.Outside.Dial, Now: d.Now, Logger: d.Logger,
+		Dial: d.Outside.Dial, Now: d.Now, Logger: d.part("membership"),
 	})
 	d.sync = configsync.New(configsync.Options{
 		Board: d.board, Journal: d.journal, Members: d.members, Parse: parseText,
-		EditZone: config.SetZone, Retention: s.Retention(), Now: d.Now, Logger: d.Logger,
+		EditZone: config.SetZone, Retention: s.Retention(), Now: d.Now, Logger: d.part("configsync"),
 	})
 	d.journal.Register(journal.StreamConfig, d.sync)
 	d.journal.RegisterSnapshotter(d.sync)
@@ -92,13 +100,18 @@
 
 // appendShare is this host's part of the deployment's appends per second.
 func (d *Daemon) appendShare() float64 {
+	return float64(d.Settings.LogAppendsPerSecond) / float64(max(d.aliveHosts(), 1))
+}
+
+// aliveHosts returns the number of live entry hosts.
+func (d *Daemon) aliveHosts() int {
 	alive := 0
 	for _, m := range d.board.Members.List() {
 		if m.Alive {
 			alive++
 		}
 	}
-	return float64(d.Settings.LogAppendsPerSecond) / float64(max(alive, 1))
+	return alive
 }
 
 func (d *Daemon) buildJobs() {
@@ -128,7 +141,7 @@
 		Journal: d.journal, Copier: d.members, Keeper: d.journal, Relay: d.members,
 		Dialer: d.Outside.Workers, Evidence: d.checker, Owner: d.members.Owner,
 		Guarantees: guaranteesOf, Blocked: d.blockedServices, History: &queue.History{},
-		Pool: d.pool, Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
+		Pool: d.pool, Metrics: shard.NewMetrics(d.Registry), Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
 	})
 }
 
@@ -166,6 +179,11 @@
 	if err != nil {
 		return err
 	}
+	return d.runOn(ctx, stop, apiL, peerL)
+}
+
+// runOn is Run on open listeners.
+func (d *Daemon) runOn(ctx context.Context, stop <-chan struct{}, apiL, peerL net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
 	servers := d.serve(ctx, g, apiL, peerL)
 	d.runLoops(ctx, g)
@@ -178,7 +196,7 @@
 		d.drain(ctx, servers)
 		return errStopped
 	})
-	err = g.Wait()
+	err := g.Wait()
 	if errors.Is(err, errStopped) || errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -204,7 +222,7 @@
 	defer cancel()
 	list, changed, err := d.Outside.Hosts.Fetch(cctx)
 	if err != nil {
-		d.Logger.Debug("daemon: the host list cannot be read", zap.Error(err))
+		d.log.Debug("the host list cannot be read", zap.Error(err))
 		return
 	}
 	if changed {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,21 +2,21 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/daisyfold/daisyfold/internal/apiserver"
-	"github.com/daisyfold/daisyfold/internal/auth"
 	"github.com/daisyfold/daisyfold/internal/blackboard"
 	"github.com/daisyfold/daisyfold/internal/jobs"
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/metrics"
 	"github.com/daisyfold/daisyfold/internal/peerserver"
+	"github.com/daisyfold/daisyfold/internal/platform/platformhttp"
 	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
@@ -28,8 +28,11 @@
 // serve starts the API for callers and the one for peers.
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, apiL, peerL net.Listener) servers {
 	s := servers{api: d.apiServer(), peer: d.peerServer()}
+	s.api.ErrorLog = zap.NewStdLog(d.part("api"))
+	s.peer.ErrorLog = zap.NewStdLog(d.part("peer"))
 	g.Go(func() error { return serveOne(s.api, apiL) })
-	g.Go(func() error { return serveOne(s.peer, peerL) })
+	counted := platformhttp.NewCounters(d.Registry, peerBytes).Listener(peerL)
+	g.Go(func() error { return serveOne(s.peer, counted) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return errors.Join(s.api.Close(), s.peer.Close())
@@ -52,32 +55,24 @@
 
 func (d *Daemon) apiServer() *http.Server {
 	handler := apiserver.NewHandler(apiserver.Deps{
-		Jobs: jobsAPI{d.jobs}, Calls: callsAPI{d.calls}, Configs: d.sync, Status: d,
+		Jobs: jobsAPI{d.jobs, d.members}, Calls: callsAPI{d.calls}, Configs: d.sync, Status: d,
 		Config: d.board.Config.Get, Ready: d.ready, Leaving: d.leaving,
 		BootstrapKeyHash: d.Settings.BootstrapKeyHash,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler(d.Registry))
-	mux.Handle("/", tracing.Middleware("entry host", handler))
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: readHeader}
-	s.TLSConfig = d.callerTLS()
-	return s
-}
-
-func (d *Daemon) callerTLS() *tls.Config {
-	c, err := auth.CallerTLS(d.Settings.TLS)
-	if err != nil {
-		// Settings were checked at start, so the files were readable then.
-		d.Logger.Error("daemon: the certificate for callers cannot be read")
-	}
-	return c
+	mux.Handle("/", tracing.Middleware(tracing.HopEntry, handler))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeader, TLSConfig: d.Outside.CallerTLS}
 }
 
 func (d *Daemon) peerServer() *http.Server {
 	srv := &peerserver.Server{
-		Members: d.members, Configs: d.sync, Copies: copies{d}, Outcomes: outcomes{d.calls}, Relay: relay{d.jobs},
+		Members: d.members, Configs: d.sync, Copies: copies{d}, Outcomes: outcomes{d.calls},
+		Reasons: d.table, Relay: relay{d.jobs},
 	}
-	return peerserver.NewHTTPServer(tracing.Middleware("peer", peerserver.Handler(srv)))
+	s := peerserver.NewHTTPServer(tracing.ChildMiddleware(tracing.HopPeer, peerserver.Handler(srv)))
+	s.TLSConfig = d.Outside.PeerTLS
+	return s
 }
 
 // relay appends records for peers.
@@ -129,22 +124,22 @@
 	d.members.SetLeaving(ctx)
 	d.shards.Stop(ctx)
 	if err := s.api.Shutdown(ctx); err != nil {
-		d.Logger.Warn("daemon: requests were in progress at the drain deadline")
+		d.log.Warn("requests were in progress at the drain deadline")
 	}
 	if err := d.calls.Drain(ctx); err != nil {
-		d.Logger.Warn("daemon: calls were in progress at the drain deadline")
+		d.log.Warn("calls were in progress at the drain deadline")
 	}
 	fctx, fcancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer fcancel()
 	if err := d.journal.Flush(fctx); err != nil {
-		d.Logger.Warn("daemon: records were not flushed: " + err.Error())
+		d.log.Warn("records were not flushed: " + err.Error())
 	}
 	_ = s.peer.Shutdown(fctx)
 }
 
 func (d *Daemon) event(msg string) {
 	d.board.Events.Add(blackboard.Event{Time: d.Now(), Part: "daemon", Message: msg})
-	d.Logger.Info("daemon: " + msg)
+	d.log.Info(msg)
 }
 
 // Events implements apiserver.StatusSource.
--- a/internal/jobs/snapshot.go
+++ b/internal/jobs/snapshot.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if e := s.Table.Get(key); e != nil {
+		r.Trace = e.Trace
+	}
 	_, err = j.Append(ctx, journal.StreamJobs, r)
 	return err
 }
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -119,7 +119,7 @@
 	}
 	e := &Entry{
 		Job: b.Job, Move: b.Move, Digest: Digest(b.Job.Spec), BaseUnixMS: r.UnixMS,
-		PlacedRecord: b.PlacedRecord, PlacedBy: b.PlacedBy, Failures: b.Failures,
+		PlacedRecord: b.PlacedRecord, PlacedBy: b.PlacedBy, Failures: b.Failures, Trace: r.Trace,
 	}
 	for _, o := range t.orphans[key] {
 		if o.offset <= b.ThroughOffset {
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -229,7 +229,7 @@
 	}}
 	m.peers[p.Host] = p
 	m.sorted = nil
-	m.opts.Logger.Info("membership: learned a host from its heartbeat",
+	m.opts.Logger.Info("learned a host from its heartbeat",
 		zap.String("host", r.Host), zap.String("zone", r.Zone))
 	return p
 }
--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -24,35 +24,64 @@
 // DialHTTP returns a client that speaks unencrypted HTTP/2: its compressed headers
 // are a tenth of those of HTTP/1.1 and would otherwise be most of a heartbeat.
 func DialHTTP(address string) peer.Peer {
-	return DialHTTPOver(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return DialHTTPOver(address, DialTCP)
+}
+
+// DialTCP opens a TCP connection to a peer.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 }
 
 // Dial opens a connection.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // DialHTTPOver is DialHTTP over connections that dial opens.
 func DialHTTPOver(address string, dial Dial) peer.Peer {
-	t := &freshTransport{dial: dial, current: newTransport(dial)}
-	return peer.NewPeerProtobufClient(address, &http.Client{Transport: t})
+	return Client(address, HTTPTransport(dial))
 }
 
-func newTransport(dial Dial) *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		DialContext: dial, Protocols: protocols, DisableCompression: true, IdleConnTimeout: idleTimeout,
-	}
+// HTTPTransport returns the transport of one peer over unencrypted connections.
+func HTTPTransport(dial Dial) http.RoundTripper {
+	return newFreshTransport(func() *http.Transport {
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		return &http.Transport{
+			DialContext: dial, Protocols: protocols, DisableCompression: true, IdleConnTimeout: idleTimeout,
+		}
+	})
+}
+
+// TLSTransport returns the transport of one peer over connections that dial opens with
+// TLS and HTTP/2.
+func TLSTransport(dial Dial) http.RoundTripper {
+	return newFreshTransport(func() *http.Transport {
+		protocols := new(http.Protocols)
+		protocols.SetHTTP2(true)
+		return &http.Transport{
+			DialTLSContext: dial, Protocols: protocols, DisableCompression: true, IdleConnTimeout: idleTimeout,
+		}
+	})
+}
+
+// Client returns a client of the peer at a base URL. The transport must not be shared
+// with another peer.
+func Client(address string, transport http.RoundTripper) peer.Peer {
+	return peer.NewPeerProtobufClient(address, &http.Client{Transport: transport})
 }
 
 // freshTransport never uses a connection again on which a call failed: HTTP/2 would
 // go on with a silent connection while new ones work. Each peer has its own.
 type freshTransport struct {
-	dial Dial
+	create func() *http.Transport
 
 	mu      sync.Mutex
 	current *http.Transport
 }
 
+func newFreshTransport(create func() *http.Transport) *freshTransport {
+	return &freshTransport{create: create, current: create()}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (f *freshTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	req.Header.Set("User-Agent", "")
@@ -76,7 +105,7 @@
 func (f *freshTransport) replace(t *http.Transport) {
 	f.mu.Lock()
 	if f.current == t {
-		f.current = newTransport(f.dial)
+		f.current = f.create()
 	}
 	f.mu.Unlock()
 	t.CloseIdleConnections()
--- a/internal/peerserver/server.go
+++ b/internal/peerserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -23,6 +24,9 @@
 	idleTimeout       = 2 * time.Minute
 	// maxOutcomeBytes is the largest answer that is passed to a peer.
 	maxOutcomeBytes = 64 << 10
+	// maxReasons and maxDetailBytes bound an answer to Explain.
+	maxReasons     = 8
+	maxDetailBytes = 1 << 10
 )
 
 // Members answers heartbeats.
@@ -59,12 +63,20 @@
 	Outcome(org model.Organisation, request string) CallOutcome
 }
 
+// Reasons knows why this host's planner left jobs where they are.
+type Reasons interface {
+	// Reasons returns the last reasons of a job, oldest first.
+	Reasons(model.JobKey) []model.Reason
+}
+
 // Server implements peer.Peer. Outcomes may be nil: every outcome is then unknown.
+// Reasons may be nil: no job then has any.
 type Server struct {
 	Members  Members
 	Configs  Configs
 	Copies   Copies
 	Outcomes Outcomes
+	Reasons  Reasons
 	Relay    Relay
 }
 
@@ -127,6 +139,23 @@
 	return &peer.CallOutcomeAnswer{Outcome: o.Outcome, Status: int32(o.Status), Body: o.Body}, nil
 }
 
+// Explain implements peer.Peer.
+func (s *Server) Explain(_ context.Context, r *peer.ExplainRequest) (*peer.ExplainAnswer, error) {
+	answer := &peer.ExplainAnswer{}
+	if s.Reasons == nil {
+		return answer, nil
+	}
+	key := model.JobKey{Organisation: model.Organisation(r.Organisation), ID: model.JobID(r.Job)}
+	all := s.Reasons.Reasons(key)
+	for _, x := range all[max(0, len(all)-maxReasons):] {
+		detail := strings.ToValidUTF8(x.Detail[:min(len(x.Detail), maxDetailBytes)], "")
+		answer.Reasons = append(answer.Reasons, &peer.ExplainReason{
+			Code: string(x.Code), Detail: detail, UnixMs: x.UnixMS,
+		})
+	}
+	return answer, nil
+}
+
 // Handler returns the HTTP handler of the peer API, below peer.PeerPathPrefix.
 func Handler(s peer.Peer) http.Handler {
 	return quiet(http.TimeoutHandler(
@@ -142,11 +171,12 @@
 	})
 }
 
-// NewHTTPServer returns a server that also speaks unencrypted HTTP/2, which the
-// peers' clients use.
+// NewHTTPServer returns a server that speaks HTTP/2, which the peers' clients use, with
+// and without TLS.
 func NewHTTPServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: h, Protocols: protocols,
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -17,6 +17,7 @@
 	ops := s.opsCopy()
 	waiting, foreign := s.candidates(ops)
 	if ok, why := s.planAllowed(o); !ok {
+		s.Metrics.refused.Inc(1)
 		s.noteWhy(waiting, why)
 		return
 	}
@@ -24,7 +25,9 @@
 		return // the planner starts and preempts for waiting jobs only
 	}
 	snap := s.snapshot(o, ops, waiting)
+	began := time.Now()
 	result := planner.Decide(snap)
+	s.Metrics.planned(time.Since(began))
 	s.Jobs.AddReasons(result.Reasons)
 	for _, p := range result.Starts {
 		s.carryOut(p, foreign)
@@ -216,7 +219,7 @@
 	cctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := s.Journal.Append(cctx, journal.StreamJobs, rec); err != nil {
-		s.Logger.Info("shard: move not recorded: " + err.Error())
+		s.Logger.Info("move not recorded: " + err.Error())
 	}
 }
 
@@ -226,7 +229,7 @@
 	if e == nil || !current(e, pre.Attempt) {
 		return
 	}
-	w := withdrawal{reason: "preempted", checkpoint: pre.Checkpoint}
+	w := withdrawal{cause: causePreempted, reason: "preempted", checkpoint: pre.Checkpoint}
 	if pre.For != (model.JobKey{}) {
 		w.reason = "preempted for job " + pre.For.String()
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -42,6 +42,8 @@
 	Blocked func() map[model.Service]model.Service
 	History *queue.History
 	Pool    *controller.Pool
+	// Metrics may be nil: nothing is then served.
+	Metrics *Metrics
 	Logger  *zap.Logger
 	Now     func() time.Time
 	NewID   func() string
@@ -266,7 +268,7 @@
 
 func (s *Shard) event(msg string) {
 	s.Board.Events.Add(blackboard.Event{Time: s.Now(), Part: "shard", Message: msg})
-	s.Logger.Info("shard: " + msg)
+	s.Logger.Info(msg)
 }
 
 // pass is one run of the shard's controller: follow the tasks, then plan.
--- a/internal/shard/start.go
+++ b/internal/shard/start.go
@@ -6,16 +6,25 @@
 	"fmt"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
+	"github.com/daisyfold/daisyfold/internal/tracing"
 )
 
 // startGang carries out one start: hold every member, record the decision, check
 // the evidence, start every member, confirm.
 func (s *Shard) startGang(ctx context.Context, p model.Placement) {
+	if e := s.Jobs.Get(p.Job); e != nil {
+		ctx = tracing.Continue(ctx, e.Trace)
+	}
+	ctx, span := tracing.StartChild(ctx, tracing.HopPlanner, attribute.Stringer("job", p.Job),
+		attribute.Int("attempt", p.Attempt), attribute.Int("members", len(p.Members)))
+	defer span.End()
+	s.Metrics.begun.Inc(1)
 	held := s.Now()
 	if failed := s.hold(ctx, &p); len(failed) > 0 {
 		s.dropHolds(ctx, &p)
@@ -28,19 +37,22 @@
 	}
 	e := s.Jobs.Get(p.Job)
 	if why, ok := s.startMayGoOn(ctx, &p, held); !ok {
-		s.withdraw(ctx, e, withdrawal{reason: why, neverStarted: true})
+		s.withdraw(ctx, e, withdrawal{cause: causeNotStarted, reason: why, neverStarted: true})
 		return
 	}
 	failed := s.startMembers(ctx, &p, &e.Job.Spec, e.Job.ServedMS)
 	s.noteStartFailures(failed)
 	if len(failed) > 0 {
-		s.withdraw(ctx, e, withdrawal{reason: "a member did not start: " + first(failed).Error()})
+		s.withdraw(ctx, e, withdrawal{
+			cause: causeMemberNotStarted, reason: "a member did not start: " + first(failed).Error(),
+		})
 		return
 	}
 	if err := s.confirm(ctx, &p); err != nil {
-		s.withdraw(ctx, e, withdrawal{reason: "the start could not be confirmed"})
+		s.withdraw(ctx, e, withdrawal{cause: causeNotConfirmed, reason: "the start could not be confirmed"})
 		return
 	}
+	s.Metrics.done.Inc(1)
 	s.recordRunning(ctx, &p)
 }
 
@@ -119,5 +131,5 @@
 }
 
 func (s *Shard) log(msg string, p *model.Placement, err error) {
-	s.Logger.Info("shard: "+msg, zap.Stringer("job", p.Job), zap.Int("attempt", p.Attempt), zap.Error(err))
+	s.Logger.Info(msg, zap.Stringer("job", p.Job), zap.Int("attempt", p.Attempt), zap.Error(err))
 }
--- a/internal/shard/withdraw.go
+++ b/internal/shard/withdraw.go
@@ -12,6 +12,7 @@
 
 // withdrawal says why and how an attempt ends before the job is finished.
 type withdrawal struct {
+	cause      cause
 	reason     string
 	checkpoint bool
 	taskFailed bool
@@ -98,5 +99,6 @@
 			l.forget(p.Job, p.Attempt)
 		}
 	}
+	s.Metrics.withdrew(w.cause)
 	s.event(fmt.Sprintf("attempt %d of job %s was withdrawn: %s", p.Attempt, p.Job, body.Reason))
 }
