--- a/internal/jobs/limits.go
+++ b/internal/jobs/limits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"weak"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,8 +18,9 @@
 // Shards of equal hardware share their limits: those of each shard took 3 MB at the
 // design size, a tenth of the daemon's memory.
 type limits struct {
-	mu     sync.Mutex
-	list   *hostlist.List
+	mu sync.Mutex
+	// list is weak so that a list of 7,500 workers is not kept until the next job.
+	list   weak.Pointer[hostlist.List]
 	all    *planner.Limits
 	shards []shardLimits
 }
@@ -32,10 +34,10 @@
 
 // load reads a host list unless it is the one already read. The lock is held.
 func (l *limits) load(list *hostlist.List) {
-	if l.list == list {
+	if l.list == weak.Make(list) {
 		return
 	}
-	l.list = list
+	l.list = weak.Make(list)
 	l.all = nil
 	l.shards = nil
 	known := map[uint64]*planner.Limits{}
