Allow a member on an unreachable worker to end by itself

Cause: a run with the race detector found 'attempt 1 ran 3942 ms without its whole gang': the rest was stopped, the stop did not reach a worker that gave no answers, and its task finished before its lease ended. Change: the random test accepts this only for a member on a worker that was out of reach at its end, within the 12 s of docs/decisions/0011. Conclusion: the case is the one that the design names; nothing else is accepted.

--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -133,6 +133,22 @@
 // reportMS is the time in which a planner records an end that a worker reported.
 const reportMS = 1000
 
+// outOfReach reports whether an attempt ran without its whole gang because a member
+// was on a worker that could not be reached, and for no longer than the bound.
+func (c *chaos) outOfReach(f judge.Finding) bool {
+	var attempt int
+	var alone int64
+	if _, err := fmt.Sscanf(f.Detail, "attempt %d ran %d ms", &attempt, &alone); err != nil || alone > longestAloneMS {
+		return false
+	}
+	for _, task := range c.emulator.Ledger().Tasks {
+		if task.Job.String() == f.Subject && task.Attempt == attempt && c.unreported(task) {
+			return true
+		}
+	}
+	return false
+}
+
 // unreported reports whether the worker could not report a task's end.
 func (c *chaos) unreported(task ledger.TaskRun) bool {
 	for _, f := range c.faults {
@@ -143,10 +159,19 @@
 	return false
 }
 
-// allowed reports whether a finding is a second run after an attempt whose end could
-// not be reported: its result is on a worker that nobody reached, so a repeatable job
-// runs again.
+// longestAloneMS is the longest time of docs/decisions/0011 that a member runs alone,
+// with half a second of margin.
+const longestAloneMS = 12_500
+
+// allowed reports whether a finding is a case that the design names. The first is a
+// second run after an attempt whose end could not be reported: its result is on a
+// worker that nobody reached, so a repeatable job runs again. The second is a member
+// on such a worker that ended by itself after the rest was stopped: the stop call did
+// not reach it.
 func (c *chaos) allowed(f judge.Finding) bool {
+	if f.Kind == judge.KindPartial {
+		return c.outOfReach(f)
+	}
 	if f.Kind != judge.KindDuplicated || !strings.HasSuffix(f.Detail, "attempts completed") {
 		return false
 	}
