Use the planner's choice of home and the assigned guarantees

Cause: the daemon chose homes and read guarantees with first versions of its own, which spread small jobs over all zones and ignored guarantees without a zone or of zones that are out; workers were split into shards in two places.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,7 +40,9 @@
 	pool    *controller.Pool
 	log     *zap.Logger // of the part "daemon"
 	leaving chan struct{}
-	stopped atomic.Bool
+	// guarantees are the shapes assigned to shards by the text in force.
+	guarantees assignment
+	stopped    atomic.Bool
 }
 
 // New builds a daemon; nothing runs before Run.
@@ -140,30 +142,11 @@
 		Host: d.Settings.Host, Zone: d.Settings.Zone, Board: d.board, Jobs: d.table,
 		Journal: d.journal, Copier: d.members, Keeper: d.journal, Relay: d.members,
 		Dialer: d.Outside.Workers, Evidence: d.checker, Owner: d.members.Owner,
-		Guarantees: guaranteesOf, Blocked: d.blockedServices, History: &queue.History{},
+		Guarantees: d.guarantees.of, Blocked: d.blockedServices, History: &queue.History{},
 		Pool: d.pool, Metrics: shard.NewMetrics(d.Registry), Logger: d.part("shard"), Now: d.Now, NewID: d.NewID,
 	})
 }
 
-// guaranteesOf returns the guarantees of a shard. They are assigned to the first
-// shard of their zone, which holds its accelerators.
-func guaranteesOf(c *blackboard.Configuration, id model.ShardID) []model.Guarantee {
-	if id.Index != 0 {
-		return nil
-	}
-	var out []model.Guarantee
-	for _, org := range c.Text.Organisations {
-		for _, g := range org.Guarantees {
-			if g.Zone == id.Zone {
-				out = append(out, model.Guarantee{
-					Organisation: org.Name, Zone: g.Zone, Shape: g.Shape, Shapes: g.Shapes,
-				})
-			}
-		}
-	}
-	return out
-}
-
 // blockedServices returns the services that wait for an unavailable dependency.
 func (d *Daemon) blockedServices() map[model.Service]model.Service {
 	return d.calls.Blocked(d.Now())
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -33,6 +33,9 @@
 		out.Zones = append(out.Zones, d.zoneStatus(&cfg.Text.AvailabilityZones[i], list))
 	}
 	out.Organisations = d.organisationStatus(cfg)
+	for _, f := range d.guarantees.unfit(cfg) {
+		out.Findings = append(out.Findings, f.Message)
+	}
 	return out
 }
 
--- a/internal/jobs/home.go
+++ b/internal/jobs/home.go
@@ -3,42 +3,33 @@
 import (
 	"github.com/daisyfold/daisyfold/internal/apierror"
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/planner"
 )
 
-// candidate is a shard that could run a job, with its load relative to its size.
-type candidate struct {
-	id    model.ShardID
-	score float64
-}
-
-// localPreference is subtracted from the score of shards in the own zone, so that
-// nearly equal zones do not exchange jobs. 0.05 is one twentieth of a shard's size.
-const localPreference = 0.05
-
-// chooseHome picks the least loaded shard that can run the job, counting waiting
-// and active work, among zones in service with live hosts.
+// chooseHome picks the shard whose planner should place the job among those that can
+// run it. A job that only shards out of service can run waits for them.
 func (s *Service) chooseHome(spec *model.JobSpec) (model.ShardID, error) {
-	var best *candidate
-	var fallback *model.ShardID
-	for _, sh := range s.limits.feasible(spec, s.Board.Hosts.Get()) {
-		id := sh.id
-		fallback = &id
-		if !s.usable(sh.id.Zone) {
-			continue
-		}
-		c := candidate{id: sh.id, score: s.score(&sh)}
-		if best == nil || c.score < best.score {
-			best = &c
-		}
+	shards := s.limits.feasible(spec, s.Board.Hosts.Get())
+	if len(shards) == 0 {
+		return model.ShardID{}, apierror.NotRun(apierror.CodeImpossible, "no shard can run the job")
 	}
-	if best != nil {
-		return best.id, nil
+	loads := make([]planner.ShardLoad, 0, len(shards))
+	for i := range shards {
+		loads = append(loads, s.load(&shards[i]))
 	}
-	if fallback != nil {
-		// The job waits in a zone that is out until it returns or another takes it.
-		return *fallback, nil
+	best := planner.ChooseHome(spec, loads)
+	if best < 0 {
+		best = 0
+	}
+	return shards[best].id, nil
+}
+
+func (s *Service) load(sh *shardLimits) planner.ShardLoad {
+	active, waiting := s.Table.Load(sh.id)
+	return planner.ShardLoad{
+		Shard: sh.id, InService: s.usable(sh.id.Zone), Accelerators: sh.accelerators,
+		Free: sh.accelerators - active, Waiting: waiting,
 	}
-	return model.ShardID{}, apierror.NotRun(apierror.CodeImpossible, "no shard can run the job")
 }
 
 func (s *Service) usable(z model.Zone) bool {
@@ -54,14 +45,6 @@
 	return false
 }
 
-func (s *Service) score(sh *shardLimits) float64 {
-	score := float64(s.Table.Load(sh.id)) / float64(max(sh.accelerators, 1))
-	if sh.id.Zone == s.Zone {
-		score -= localPreference
-	}
-	return score
-}
-
 // WaitingOf counts an organisation's waiting jobs.
 func (t *Table) WaitingOf(org model.Organisation) int {
 	t.mu.RLock()
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -45,7 +45,7 @@
 	nOrphan int
 	waiting map[model.ShardID]map[model.JobKey]*Entry
 	active  map[model.ShardID]map[model.JobKey]*Entry
-	load    map[model.ShardID]int // accelerators of waiting and active jobs
+	load    map[model.ShardID]loads
 	reasons map[model.JobKey][]model.Reason
 	done    map[model.JobKey]chan struct{}
 	last    int64                             // offset of the last applied record
@@ -61,7 +61,7 @@
 		orphans: map[model.JobKey][]orphan{},
 		waiting: map[model.ShardID]map[model.JobKey]*Entry{},
 		active:  map[model.ShardID]map[model.JobKey]*Entry{},
-		load:    map[model.ShardID]int{},
+		load:    map[model.ShardID]loads{},
 		reasons: map[model.JobKey][]model.Reason{},
 		done:    map[model.JobKey]chan struct{}{},
 		last:    -1,
@@ -210,7 +210,7 @@
 			index[home] = map[model.JobKey]*Entry{}
 		}
 		index[home][key] = after
-		t.load[home] += after.Job.Spec.Accelerators()
+		t.addLoad(after, 1)
 	}
 	if after.Job.State.Final() {
 		if ch := t.done[key]; ch != nil {
@@ -226,7 +226,7 @@
 		return
 	}
 	delete(index[e.Job.Home], key)
-	t.load[e.Job.Home] -= e.Job.Spec.Accelerators()
+	t.addLoad(e, -1)
 }
 
 func (t *Table) indexOf(e *Entry) map[model.ShardID]map[model.JobKey]*Entry {
@@ -291,11 +291,27 @@
 	return a.Job.Spec.Key.String() < b.Job.Spec.Key.String()
 }
 
-// Load returns the accelerators of the waiting and active jobs of a shard.
-func (t *Table) Load(s model.ShardID) int {
+// loads are the accelerators of a shard's active and waiting jobs.
+type loads struct{ active, waiting int }
+
+// addLoad adds or takes away a job's accelerators. The caller holds the lock.
+func (t *Table) addLoad(e *Entry, sign int) {
+	l := t.load[e.Job.Home]
+	n := sign * e.Job.Spec.Accelerators()
+	if e.Job.State == model.JobWaiting {
+		l.waiting += n
+	} else {
+		l.active += n
+	}
+	t.load[e.Job.Home] = l
+}
+
+// Load returns the accelerators of a shard's active jobs and of its waiting jobs.
+func (t *Table) Load(s model.ShardID) (active, waiting int) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.load[s]
+	l := t.load[s]
+	return l.active, l.waiting
 }
 
 // Usage counts an organisation's accelerators in active jobs.
--- a/internal/planner/feasible.go
+++ b/internal/planner/feasible.go
@@ -4,6 +4,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/daisyfold/daisyfold/internal/model"
+	"github.com/daisyfold/daisyfold/internal/partition"
 	"github.com/daisyfold/daisyfold/internal/topology"
 )
 
@@ -34,8 +35,8 @@
 	}
 	var zones []model.Zone
 	for _, zone := range l.zones {
-		for _, shard := range topology.Shards(byZone[zone]) {
-			l.shards = append(l.shards, topology.New(shard, nil))
+		for _, shard := range partition.Split(byZone[zone]) {
+			l.shards = append(l.shards, topology.New(shard.Workers, nil))
 			zones = append(zones, zone)
 		}
 	}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -74,7 +74,7 @@
 		}
 	}
 	foreign := map[model.JobKey]*jobs.Entry{}
-	if !s.movesAllowed() {
+	if !s.movesAllowed() || stopping(ops) {
 		return waiting, foreign
 	}
 	for _, e := range s.Jobs.WaitingElsewhere(s.id, maxForeign) {
@@ -87,6 +87,17 @@
 	return waiting, foreign
 }
 
+// stopping reports whether work is being stopped: the places that it frees belong to
+// the shard's own jobs that waited for them.
+func stopping(ops map[model.JobKey]opKind) bool {
+	for _, kind := range ops {
+		if kind == opWithdraw || kind == opStop {
+			return true
+		}
+	}
+	return false
+}
+
 // movesAllowed reports whether the log has answered for moveGrace.
 func (s *Shard) movesAllowed() bool {
 	s.mu.Lock()
--- a/internal/topology/table.go
+++ b/internal/topology/table.go
@@ -117,22 +117,6 @@
 	return n.All != 0 && n.Free == n.All
 }
 
-// Shards splits the workers of one zone into shards of at most
-// model.MaxShardWorkers. Racks with accelerators come first, so that gangs with
-// accelerators find them in as few shards as possible.
-func Shards(workers []model.Worker) [][]model.Worker {
-	if len(workers) == 0 {
-		return nil
-	}
-	sorted := sortByRack(workers)
-	var shards [][]model.Worker
-	for start := 0; start < len(sorted); start += model.MaxShardWorkers {
-		end := min(start+model.MaxShardWorkers, len(sorted))
-		shards = append(shards, sorted[start:end])
-	}
-	return shards
-}
-
 // Clone returns a copy that can be changed apart from t.
 func (t *Table) Clone() *Table {
 	c := &Table{
