Use net/http's transport for worker links

Cause: the links had a transport of the project's own, without TLS; where a library does the job, the project does not keep its own. Change: worker links use the shared net/http transport; its tests now guard that one.

--- a/internal/platform/platformhttp/lean_test.go
+++ b/internal/platform/platformhttp/transport_test.go
@@ -15,8 +15,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// leanServer counts the connections that it accepts.
-func leanServer(t *testing.T, h http.HandlerFunc) (*httptest.Server, *atomic.Int64) {
+// countingServer counts the connections that it accepts.
+func countingServer(t *testing.T, h http.HandlerFunc) (*httptest.Server, *atomic.Int64) {
 	t.Helper()
 	var opened atomic.Int64
 	s := httptest.NewUnstartedServer(h)
@@ -30,20 +30,20 @@
 	return s, &opened
 }
 
-func leanCall(ctx context.Context, rt http.RoundTripper, url string) (Answer, error) {
+func oneCall(ctx context.Context, rt http.RoundTripper, url string) (Answer, error) {
 	return Do(ctx, rt, Call{Method: http.MethodPost, URL: url, Body: "question", Timeout: time.Minute})
 }
 
-func newLean() *LeanTransport { return NewLeanTransport(NewCounters(metrics.NewRegistry(), "test")) }
+func newTransport() *http.Transport { return NewTransport(NewCounters(metrics.NewRegistry(), "test")) }
 
 // Guards against a connection for each call, which would triple a renewal's traffic.
-func TestLeanTransportReusesItsConnection(t *testing.T) {
-	s, opened := leanServer(t, func(rw http.ResponseWriter, r *http.Request) {
+func TestTransportReusesItsConnection(t *testing.T) {
+	s, opened := countingServer(t, func(rw http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(rw, r.Body)
 	})
-	lean := newLean()
+	rt := newTransport()
 	for range 5 {
-		got, err := leanCall(t.Context(), lean, s.URL)
+		got, err := oneCall(t.Context(), rt, s.URL)
 		if err != nil || string(got.Body) != `"question"` {
 			t.Fatalf("got %q, %v", got.Body, err)
 		}
@@ -55,11 +55,11 @@
 
 // Guards against a call on a connection that the worker closed while it was idle: the
 // call would fail although the worker is well, and might count as sent.
-func TestLeanTransportReplacesClosedConnection(t *testing.T) {
-	s, opened := leanServer(t, func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "answer") })
-	lean := newLean()
+func TestTransportReplacesClosedConnection(t *testing.T) {
+	s, opened := countingServer(t, func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "answer") })
+	rt := newTransport()
 	for range 3 {
-		if _, err := leanCall(t.Context(), lean, s.URL); err != nil {
+		if _, err := oneCall(t.Context(), rt, s.URL); err != nil {
 			t.Fatal(err)
 		}
 		s.CloseClientConnections()
@@ -71,10 +71,10 @@
 
 // Guards against an answer that reaches the wrong call: a connection whose call was
 // given up must not be used again.
-func TestLeanTransportDropsConnectionOfAbandonedCall(t *testing.T) {
+func TestTransportDropsConnectionOfAbandonedCall(t *testing.T) {
 	release := make(chan struct{})
 	arrived := make(chan struct{})
-	s, opened := leanServer(t, func(rw http.ResponseWriter, r *http.Request) {
+	s, opened := countingServer(t, func(rw http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/slow") {
 			_, _ = io.Copy(io.Discard, r.Body)
 			close(arrived)
@@ -83,16 +83,16 @@
 		_, _ = io.WriteString(rw, r.URL.Path)
 	})
 	defer close(release)
-	lean := newLean()
+	rt := newTransport()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-arrived
 		cancel()
 	}()
-	if _, err := leanCall(ctx, lean, s.URL+"/slow"); err == nil {
+	if _, err := oneCall(ctx, rt, s.URL+"/slow"); err == nil {
 		t.Fatal("the abandoned call was answered")
 	}
-	got, err := leanCall(t.Context(), lean, s.URL+"/next")
+	got, err := oneCall(t.Context(), rt, s.URL+"/next")
 	if err != nil || string(got.Body) != "/next" {
 		t.Fatalf("got %q, %v", got.Body, err)
 	}
@@ -103,11 +103,11 @@
 
 // Guards against a refused connection that counts as sent: its leases would be waited
 // for although the worker never heard of the call.
-func TestLeanTransportReportsUnsentCall(t *testing.T) {
-	s, _ := leanServer(t, func(http.ResponseWriter, *http.Request) {})
+func TestTransportReportsUnsentCall(t *testing.T) {
+	s, _ := countingServer(t, func(http.ResponseWriter, *http.Request) {})
 	url := s.URL
 	s.Close()
-	_, err := leanCall(t.Context(), newLean(), url)
+	_, err := oneCall(t.Context(), newTransport(), url)
 	var unsent *UnsentError
 	if !errors.As(err, &unsent) {
 		t.Fatalf("got %v, want an UnsentError", err)
--- a/internal/platform/workerlink/client.go
+++ b/internal/platform/workerlink/client.go
@@ -27,7 +27,7 @@
 // New returns a client whose traffic is counted in the registry as
 // "worker.bytes_sent" and "worker.bytes_received".
 func New(r metrics.Registry) *Client {
-	t := platformhttp.NewLeanTransport(platformhttp.NewCounters(r, "worker"))
+	t := platformhttp.NewTransport(platformhttp.NewCounters(r, "worker"))
 	return NewWithTransport(tracing.Transport(tracing.HopWorker, t))
 }
 
