--- a/cmd/daisyfold-emulator/main.go
+++ b/cmd/daisyfold-emulator/main.go
@@ -27,6 +27,7 @@
 	Targets    int      `long:"targets" default:"6" description:"targets in each zone (without --deployment)"`
 	Services   []string `long:"service" default:"exchange" default:"orders" description:"services of the targets, in turn (without --deployment)"`
 	OnePort    bool     `long:"one-port" description:"serve all targets at the listen address, whatever the file says; no limit of connections applies"`
+	Retention  int64    `long:"retention" description:"seconds that the log keeps records, whatever the file says"`
 	Seed       uint64   `long:"seed" default:"1" description:"seed of the service times"`
 }
 
@@ -66,6 +67,7 @@
 			d.Zones[i].Workers = cmp.Or(o.PerZone, d.Zones[i].Workers)
 		}
 		d.TargetPorts = d.TargetPorts && !o.OnePort
+		d.Log.RetentionSeconds = cmp.Or(o.Retention, d.Log.RetentionSeconds)
 		return d, err
 	}
 	d := emulator.Default()
--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -58,6 +58,8 @@
 	hosts    []*host
 	links    *links // nil without proxies
 	http     *http.Client
+	// retention is ClusterOptions.Retention.
+	retention time.Duration
 }
 
 // ClusterOptions describe a cluster to start.
@@ -69,6 +71,9 @@
 	Proxies    bool // put a fault-injecting proxy into every link of a daemon
 	// WorkersPerZone replaces the number in the deployment file if it is not 0.
 	WorkersPerZone int
+	// Retention is how long the log keeps records, in whole seconds; 0 means the
+	// deployment file's.
+	Retention time.Duration
 }
 
 // StartCluster starts the emulator and two daemons in each of its zones.
@@ -77,7 +82,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c := &Cluster{bin: o.Bin, dir: o.Dir, http: &http.Client{Timeout: controlLimit}}
+	c := &Cluster{bin: o.Bin, dir: o.Dir, retention: o.Retention, http: &http.Client{Timeout: controlLimit}}
 	if err := c.startEmulator(ctx, o); err != nil {
 		c.Stop()
 		return nil, trace.Wrap(err)
@@ -105,6 +110,9 @@
 	if o.WorkersPerZone > 0 {
 		args = append(args, "--workers-per-zone", fmt.Sprint(o.WorkersPerZone))
 	}
+	if o.Retention > 0 {
+		args = append(args, "--retention", fmt.Sprint(int(o.Retention.Seconds())))
+	}
 	if o.Proxies {
 		args = append(args, "--one-port") // the proxies stand before that port
 	}
@@ -163,6 +171,8 @@
 		Platform:     platformSettings{Log: c.base, HostList: c.base},
 		DrainSeconds: drainSeconds,
 		Log:          logSettings{Level: "info"},
+
+		LogRetentionSeconds: int(c.retention.Seconds()),
 	}
 	for _, other := range c.hosts {
 		if other != h {
--- a/internal/load/commands.go
+++ b/internal/load/commands.go
@@ -100,10 +100,18 @@
 func usage(text string) error { return trace.BadParameter("usage: %s", text) }
 
 func cmdDeploy(s *scenario, _ *testscript.TestScript, args []string) error {
-	if len(args) != 1 {
-		return usage("deploy EXAMPLE")
+	plain, named := splitArgs(args)
+	if len(plain) != 1 {
+		return usage("deploy EXAMPLE [retention=20s]")
+	}
+	var retention time.Duration
+	if value := named["retention"]; value != "" {
+		var err error
+		if retention, err = time.ParseDuration(value); err != nil {
+			return trace.BadParameter("retention: %v", err)
+		}
 	}
-	return s.deploy(args[0])
+	return s.deploy(plain[0], retention)
 }
 
 // onHosts returns a command on hosts or on all hosts of zones, one after another.
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -207,8 +207,8 @@
 func (t *scriptT) Verbose() bool { return false }
 
 // deploy starts a cluster with proxies in all links and puts the example text in
-// force.
-func (s *scenario) deploy(example string) error {
+// force. A retention of 0 is the example's.
+func (s *scenario) deploy(example string, retention time.Duration) error {
 	p, err := ExampleProfile(s.options.Examples, example)
 	if err != nil {
 		return trace.Wrap(err)
@@ -220,6 +220,7 @@
 		Deployment: p.Deployment,
 		Seed:       s.options.Seed,
 		Proxies:    true,
+		Retention:  retention,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -22,6 +22,8 @@
 	Platform     platformSettings `json:"platform"`
 	DrainSeconds int              `json:"drainSeconds"`
 	Log          logSettings      `json:"log"`
+	// LogRetentionSeconds is left out when it is 0: the daemon's default applies.
+	LogRetentionSeconds int `json:"logRetentionSeconds,omitempty"`
 }
 
 type listenSettings struct {
