State the bound of an operators' text once

Cause: the parser allowed 180 KB, the append 128 KB and the API 900,000 characters, so a text could pass 'daisyfold check' and be refused by 'apply'. Conclusion: the check and the publication agree.

--- a/internal/api/oas_validators_gen.go
+++ b/internal/api/oas_validators_gen.go
@@ -63,7 +63,7 @@
 		if err := (validate.String{
 			MinLength:     0,
 			MinLengthSet:  false,
-			MaxLength:     900000,
+			MaxLength:     131072,
 			MaxLengthSet:  true,
 			Email:         false,
 			Hostname:      false,
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -7,9 +7,9 @@
 	"github.com/daisyfold/daisyfold/internal/jsontext"
 )
 
-// MaxTextBytes bounds the text. Its record must fit into one append to the log, which
-// is at most 256 KB, and the record's base64 adds a third.
-const MaxTextBytes = 180 << 10
+// MaxTextBytes bounds the text: as base64 with the accepted edits it must fit into one
+// append of 256 KB.
+const MaxTextBytes = 128 << 10
 
 // Parse reads and checks the operators' text. File is used in findings only. When
 // there are findings the text holds only the values without one, or is nil when the
--- a/internal/config/reference.go
+++ b/internal/config/reference.go
@@ -11,7 +11,7 @@
 This page is printed by ` + "`daisyfold docs text-format`" + ` from the tables that the checks use.
 A test fails when it is not current.
 
-The text is at most 180 KB of JSON with comments (` + "`//` and `/* */`" + `) and trailing commas.
+The text is at most 128 KB of JSON with comments (` + "`//` and `/* */`" + `) and trailing commas.
 It is one object.
 Every fault is reported as ` + "`file:line:column: message`" + `. After a missing comma, a missing
 value or a malformed value the check goes on; after any other syntax error it stops,
--- a/internal/configsync/publish.go
+++ b/internal/configsync/publish.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// MaxTextBytes bounds an operators' text: as base64 with the accepted edits it
-	// must fit into one append of 256 KB.
-	MaxTextBytes = 128 << 10
 	// maxIDBytes bounds an edit's ID, so that the remembered edits stay small.
 	maxIDBytes = 64
 	// firstReadWait bounds the wait of an edit for the first reading of the log.
@@ -48,8 +45,8 @@
 	if id == "" || len(id) > maxIDBytes {
 		return nil, apierror.NotRun(apierror.CodeBadInput, "the id must have 1 to %d bytes", maxIDBytes)
 	}
-	if len(text) > MaxTextBytes {
-		return nil, apierror.NotRun(apierror.CodeTooLarge, "the text has %d bytes, more than %d", len(text), MaxTextBytes)
+	if len(text) > config.MaxTextBytes {
+		return nil, apierror.NotRun(apierror.CodeTooLarge, "the text has %d bytes, more than %d", len(text), config.MaxTextBytes)
 	}
 	parsed, err := s.opts.Parse(text)
 	if err != nil {
--- a/internal/configsync/zone.go
+++ b/internal/configsync/zone.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/apierror"
+	"github.com/daisyfold/daisyfold/internal/config"
 	"github.com/daisyfold/daisyfold/internal/model"
 )
 
@@ -153,7 +154,7 @@
 	if err != nil {
 		return nil, apierror.NotRun(apierror.CodeNotFound, "zone %s: %v", zone, err)
 	}
-	if len(edited) > MaxTextBytes {
+	if len(edited) > config.MaxTextBytes {
 		return nil, apierror.NotRun(apierror.CodeTooLarge, "the edited text has %d bytes", len(edited))
 	}
 	if _, err := s.opts.Parse(edited); err != nil {
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -22,7 +22,7 @@
 // JobState is the state of a job.
 type JobState string
 
-// Job states. Finished, failed, cancelled and refused are final.
+// Job states. Finished, failed and cancelled are final.
 const (
 	JobWaiting   JobState = "waiting"
 	JobStarting  JobState = "starting"
