--- a/internal/bench/scale.go
+++ b/internal/bench/scale.go
@@ -33,6 +33,7 @@
 		{Organisation: "o0", Shape: shape(model.LevelWorker, 4, model.LevelRack), Shapes: 4},
 		{Organisation: "o1", Shape: shape(model.LevelFour, 1, model.LevelWorker), Shapes: 8},
 	}
+	snap.Limits = planner.NewLimits(snap.Workers)
 	for i := range tasks {
 		snap.Running = append(snap.Running, scaleTask(i, workers, withAccelerators))
 	}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -142,7 +142,10 @@
 
 // admit rates the jobs that could start and gives reasons for the others.
 func (p *planning) admit() []*queue.Item {
-	limits := NewLimits(p.snap.Workers)
+	limits := p.snap.Limits
+	if limits == nil {
+		limits = NewLimits(p.snap.Workers)
+	}
 	items := make([]*queue.Item, 0, len(p.snap.Waiting))
 	for _, j := range p.snap.Waiting {
 		if dependency, blocked := p.snap.Blocked[j.Spec.Service]; blocked {
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -31,6 +31,10 @@
 	ZoneInService bool
 	// Workers are the shard's workers, also lost and leaving ones.
 	Workers []model.Worker
+	// Limits are those of Workers, which change only with the workers' capacities.
+	// Building them took a seventh of a plan, so a caller keeps them between plans;
+	// nil means that Decide builds them.
+	Limits *Limits
 	// Running are all attempts that hold resources, starting ones included.
 	Running []model.Placement
 	// Stopping are the running jobs that are being preempted already.
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -151,11 +151,13 @@
 		Pinned:     map[model.JobKey]bool{},
 		Served:     map[model.JobKey]time.Duration{},
 	}
+	version := s.currentLinks()
 	for _, l := range s.allLinks() {
 		w := l.worker
 		w.Health = o.views[w.ID].health
 		snap.Workers = append(snap.Workers, w)
 	}
+	snap.Limits = s.limitsOf(snap.Workers, version)
 	s.addRunning(snap, o)
 	for job, kind := range ops {
 		if kind == opWithdraw || kind == opStop {
@@ -172,6 +174,22 @@
 	return snap
 }
 
+func (s *Shard) currentLinks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.linksVersion
+}
+
+// limitsOf returns the limits of the workers as they were linked at version. Only the
+// shard's controller calls it, never twice at the same time.
+func (s *Shard) limitsOf(workers []model.Worker, version int) *planner.Limits {
+	if s.limits == nil || s.limitsVersion != version || s.currentLinks() != version {
+		s.limits = planner.NewLimits(workers)
+		s.limitsVersion = version
+	}
+	return s.limits
+}
+
 // addRunning adds everything that occupies workers: active attempts, and tasks of
 // attempts that should not run but have not ended yet.
 func (s *Shard) addRunning(snap *planner.Snapshot, o *observation) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -13,6 +13,7 @@
 	"github.com/daisyfold/daisyfold/internal/journal"
 	"github.com/daisyfold/daisyfold/internal/model"
 	"github.com/daisyfold/daisyfold/internal/partition"
+	"github.com/daisyfold/daisyfold/internal/planner"
 	"github.com/daisyfold/daisyfold/internal/platform/workerlink"
 	"github.com/daisyfold/daisyfold/internal/queue"
 )
@@ -81,6 +82,10 @@
 	ops     map[model.JobKey]opKind
 	orphans map[attemptKey]time.Time // since when tasks of unknown jobs are seen
 	lastWhy string
+	// limits are those of the workers at linksVersion limitsVersion; linksVersion
+	// counts the changes of links.
+	limits                      *planner.Limits
+	limitsVersion, linksVersion int
 	// refused holds jobs whose placement lost, until when they are left alone.
 	refused map[model.JobKey]time.Time
 	// outageEnd is when the log was last seen not to answer.
@@ -131,6 +136,7 @@
 		if !listed[id] && l.idle() {
 			l.cancel()
 			delete(s.links, id)
+			s.linksVersion++
 		}
 	}
 }
@@ -141,6 +147,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	l.cancel = cancel
 	s.links[w.ID] = l
+	s.linksVersion++
 	s.goRun(func(context.Context) { l.run(ctx) })
 	return l
 }
