--- a/internal/daemon/trace_test.go
+++ b/internal/daemon/trace_test.go
@@ -33,8 +33,11 @@
 	t       *testing.T
 	daemons map[model.HostID]*Daemon
 	apis    map[model.HostID]string // base URLs
-	logger  *zap.Logger
-	logs    *observer.ObservedLogs
+	stops   map[model.HostID]chan struct{}
+	// platform is the base URL of the stand-in.
+	platform string
+	logger   *zap.Logger
+	logs     *observer.ObservedLogs
 }
 
 func startPair(t *testing.T) *pair {
@@ -42,7 +45,8 @@
 	d := must(emulator.Load(example + "emulator.jsonc"))
 	platform := must(net.Listen("tcp", "127.0.0.1:0"))
 	t.Cleanup(goRun(t, func(ctx context.Context) error { return emulator.Serve(ctx, d, platform) }))
-	p := &pair{t: t, daemons: map[model.HostID]*Daemon{}, apis: map[model.HostID]string{}}
+	p := &pair{t: t, daemons: map[model.HostID]*Daemon{}, apis: map[model.HostID]string{}, stops: map[model.HostID]chan struct{}{}}
+	p.platform = "http://" + platform.Addr().String()
 	var core zapcore.Core
 	core, p.logs = observer.New(zap.DebugLevel)
 	p.logger = zap.New(core)
@@ -69,8 +73,10 @@
 	r := gometrics.NewRegistry()
 	d := New(Options{Settings: s, Registry: r, Logger: p.logger, Outside: must(Network(s, r, func() int { return 2 }))})
 	p.daemons[self.Host] = d
+	stop := make(chan struct{})
+	p.stops[self.Host] = stop
 	p.apis[self.Host] = "http://" + s.Listen.API
-	p.t.Cleanup(goRun(p.t, func(ctx context.Context) error { return d.runOn(ctx, nil, l[0], l[1]) }))
+	p.t.Cleanup(goRun(p.t, func(ctx context.Context) error { return d.runOn(ctx, stop, l[0], l[1]) }))
 }
 
 // goRun runs f and returns a function that ends it and waits.
