--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -18,7 +18,11 @@
 	p.t.Helper()
 	late := time.Second.Milliseconds()
 	faults := emulator.Faults{Targets: []emulator.TargetFault{{Service: "exchange", LateMS: &late}}}
-	resp := must(http.Post(p.platform+"/control/faults", "application/json", bytes.NewReader(must(json.Marshal(faults)))))
+	body := bytes.NewReader(must(json.Marshal(faults)))
+	resp, err := http.Post(p.platform+"/control/faults", "application/json", body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode >= http.StatusBadRequest {
 		p.t.Fatalf("the stand-in answered %s", resp.Status)
