Repeat a start while it gets no answer

A worker has each run once, so the same start could have been sent again instead. A retried start may still be carried out late by the next life of the worker, so its run moves there when the worker starts again. Change: a start is sent up to three times, 250 ms each; a refusal does not count while an earlier try is open. Stops are repeated after 300 ms instead of 600 ms. The line 'placed' shows the demand of the tasks. The stand-in can delay the next orders for certain. TestStartIsRepeated fails before (2 runs) and passes after.

--- /dev/null
+++ b/internal/engine/outage_test.go
@@ -0,0 +1,93 @@
+package engine_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/engine/work"
+	"github.com/daisyfold/daisyfold/internal/standin"
+)
+
+// TestStartIsRepeated guards against a gang that is stopped and placed again because one
+// of its starts got no answer, although the same start could be sent once more.
+func TestStartIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
+		defer c.close()
+		j := job(1, work.Step{Tasks: 4, Demand: large, EstimateMS: 2000, Gang: true})
+		c.fleet.DelayOrders(1)
+		c.submit("urgent", j, standin.Behaviour{Work: 2 * time.Second})
+		c.await(j.ID, work.Completed, 3*time.Second)
+		if n := len(c.fleet.Ledger().Runs(work.TaskName{Job: j.ID})); n != 1 {
+			t.Errorf("the first member had %d runs instead of one", n)
+		}
+		time.Sleep(15 * time.Second) // the first try is carried out late
+	})
+}
+
+// TestDelayedStartReachesNextLife guards against a run that nobody knows of: its first
+// try is carried out late by the next life of the worker.
+func TestDelayedStartReachesNextLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 1})
+		defer c.close()
+		j := job(1, work.Step{Tasks: 1, Demand: small, EstimateMS: 3000})
+		c.fleet.DelayOrders(1)
+		c.submit("urgent", j, standin.Behaviour{Work: 3 * time.Second})
+		time.Sleep(time.Second)
+		c.workers[0].Restart()
+		c.await(j.ID, work.Completed, 15*time.Second)
+		time.Sleep(15 * time.Second)
+	})
+}
+
+// TestReadiness guards against a host that takes callers while it cannot reach the store,
+// and against one that turns them away at the first hiccup.
+func TestReadiness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 1})
+		defer c.close()
+		h := c.anyHost()
+		if ok, why := h.Ready(); !ok {
+			t.Fatalf("not ready in calm: %s", why)
+		}
+		c.store.SetHostFaults(h.name, standin.StoreFaults{Down: true})
+		time.Sleep(800 * time.Millisecond)
+		if ok, why := h.Ready(); !ok {
+			t.Errorf("not ready after 0.8 s without the store: %s", why)
+		}
+		time.Sleep(800 * time.Millisecond)
+		if ok, _ := h.Ready(); ok {
+			t.Error("ready after 1.6 s without the store")
+		}
+		c.store.SetHostFaults(h.name, standin.StoreFaults{})
+		time.Sleep(1500 * time.Millisecond)
+		if ok, why := h.Ready(); !ok {
+			t.Errorf("not ready 1.5 s after the store came back: %s", why)
+		}
+	})
+}
+
+// TestRestartedHostsOwnAtOnce guards against hosts that wait for stronger ones when all
+// start again: the last owner's name says that there are none.
+func TestRestartedHostsOwnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 1})
+		defer c.close()
+		for name := range c.hosts {
+			c.crash(name)
+		}
+		time.Sleep(2 * time.Second) // the former owner's time to live is over
+		began := time.Now()
+		c.addHost("host-8")
+		c.addHost("host-9")
+		for c.owner() == nil && time.Since(began) < settle {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Two looks at an empty group, a join, and the jitter of both.
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("a host owned after %s", took)
+		}
+	})
+}
--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -90,7 +90,7 @@
 	}
 	t.log.Info("worker started again", zap.String("worker", older), zap.String("as", by.key), zap.Int("runs", len(w.runs)))
 	for _, r := range w.sortedRuns() {
-		if r.phase == runPlanned || r.reported {
+		if r.phase == runPlanned || (r.reported && !r.open) {
 			continue
 		}
 		w.removeRun(r)
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -8,8 +9,16 @@
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 )
 
-// stopRepeat is the time after which a stop without an answer is sent again.
-const stopRepeat = 600 * time.Millisecond
+const (
+	// orderTry is how long the answer to one try of an order is waited for. A worker
+	// answers within a few milliseconds; a packet lost on the way costs about 200 ms.
+	orderTry = 250 * time.Millisecond
+	// startTries is how often a start is sent before its run counts as open. Together
+	// they stay well below the time that members of a gang wait for each other.
+	startTries = 3
+	// stopRepeat is the time after which a stop without an answer is sent again.
+	stopRepeat = 300 * time.Millisecond
+)
 
 // rest keeps new work from a worker, longer with each failure.
 func (t *term) rest(w *worker, why string) {
@@ -37,11 +46,37 @@
 	ref := r.worker.ref()
 	t.metrics.starts.Inc(1)
 	go func() {
-		answer, err := t.Workers.Start(t.ctx, ref, order)
-		t.post(func(t *term) { t.started(r, now, answer, err) })
+		answer, open, err := t.startUntilAnswered(ref, order)
+		t.post(func(t *term) { t.started(r, now, answer, open, err) })
 	}()
 }
 
+// startUntilAnswered sends a start again while it gets no answer. A worker has each run
+// once, so repetitions are harmless. open tells that a try without an answer may still
+// be carried out.
+func (t *term) startUntilAnswered(ref workers.Ref, order workers.StartOrder) (answer workers.Answer, open bool, err error) {
+	for range startTries {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTry)
+		answer, err = t.Workers.Start(ctx, ref, order)
+		cancel()
+		if err == nil || t.ctx.Err() != nil {
+			return answer, open, err
+		}
+		open = true
+	}
+	return answer, open, err
+}
+
+// settles tells whether the answer to a start says what became of the run. A refusal
+// does not while an earlier try is open.
+func settles(answer workers.Answer, open bool) bool {
+	switch answer.Outcome {
+	case workers.Accepted, workers.Fenced, workers.OtherLife:
+		return true
+	}
+	return !open
+}
+
 // startingPoint is the checkpoint from which a run resumes.
 func (t *term) startingPoint(r *run) string {
 	if r.step().Gang {
@@ -53,8 +88,8 @@
 	return ""
 }
 
-// started takes the answer to a start.
-func (t *term) started(r *run, sent time.Duration, answer workers.Answer, err error) {
+// started takes the answer to a start; open tells that an earlier try got none.
+func (t *term) started(r *run, sent time.Duration, answer workers.Answer, open bool, err error) {
 	now := t.Now()
 	r.settled = now
 	w := r.worker
@@ -62,9 +97,13 @@
 	if w.runs[r.name] != r {
 		return
 	}
-	if err != nil {
+	if open {
+		r.open = true
 		t.metrics.unanswered.Inc(1)
-		t.log.Warn("a start got no answer", zap.Stringer("run", r.name), zap.String("worker", w.key), zap.Error(err))
+	}
+	if err != nil || !settles(answer, open) {
+		t.log.Warn("a start got no answer", zap.Stringer("run", r.name), zap.String("worker", w.key),
+			zap.Stringer("last", answer.Outcome), zap.Error(err))
 		r.phase = runOpen
 		w.lookAt = now
 		if r.step().Gang {
@@ -76,7 +115,7 @@
 	w.sawClock(answer.ClockMS, now)
 	if answer.Outcome == workers.Accepted {
 		t.metrics.startTime.Update(now - sent)
-		t.log.Info("run started", zap.Stringer("run", r.name), zap.String("worker", w.key), zap.Duration("took", now-sent))
+		t.log.Info("run started", zap.Stringer("run", r.name), zap.String("worker", w.key), zap.Duration("took", now-sent), zap.Bool("repeated", open))
 		r.phase, r.startedAt, r.moved = runStarted, now, now
 		w.lookAt = now
 		return
@@ -145,7 +184,9 @@
 	ref := r.worker.ref()
 	t.metrics.stops.Inc(1)
 	go func() {
-		answer, err := t.Workers.Stop(t.ctx, ref, r.name, t.epoch)
+		ctx, cancel := context.WithTimeout(t.ctx, orderTry)
+		defer cancel()
+		answer, err := t.Workers.Stop(ctx, ref, r.name, t.epoch)
 		t.post(func(t *term) { t.stopped(r, answer, err) })
 	}()
 }
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -194,7 +194,10 @@
 		t.metrics.waitTime.Update(time.Duration(t.Wall().UnixMilli()-j.AcceptedMS) * time.Millisecond)
 	}
 	state.Started, state.Status = true, work.Running
+	step := &j.Steps[q.step]
 	t.log.Info("placed", zap.String("job", j.ID), zap.Int("step", q.step), zap.Int("tasks", len(tasks)),
+		zap.Int("cpu", step.Demand.CPU), zap.Int("accelerators", step.Demand.Accelerators),
+		zap.Bool("gang", step.Gang), zap.Bool("saves", step.SavesProgress),
 		zap.Int("waiting", len(q.tasks)-len(tasks)), zap.Duration("waited", now-j.waiting[q.step]), zap.Int("run", gangRun))
 	t.touch(j)
 	t.then(func() { t.startAll(runs) })
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -65,6 +65,9 @@
 	stopSent time.Duration // when the last stop was sent
 	stopOpen bool          // a stop is on its way
 	stopDone time.Duration // when a stop was answered; 0 if none was
+	// open tells that a try of its start got no answer: the worker may carry it out
+	// late, and so may its next life.
+	open bool
 	// absent runs were not in the last report; reported ones were in a report of the
 	// life of the worker that they are on.
 	absent, reported bool
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -54,6 +54,8 @@
 	late float64
 	// lost is the share of orders that are carried out but not answered.
 	lost float64
+	// delayNext is how many of the next orders are carried out late for certain.
+	delayNext int
 }
 
 type knownJob struct {
@@ -99,6 +101,13 @@
 	f.late, f.lost = late, lost
 }
 
+// DelayOrders has the next n orders carried out late and unanswered.
+func (f *Fleet) DelayOrders(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delayNext = n
+}
+
 // Cut separates a host ("" for all) from a worker, or joins them again.
 func (f *Fleet) Cut(host, worker string, cut bool) {
 	f.mu.Lock()
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -44,6 +44,10 @@
 	c.mu.Lock()
 	w := c.reach(ref)
 	late, lost := c.rng.Float64() < c.late, c.rng.Float64() < c.lost
+	if c.delayNext > 0 {
+		c.delayNext--
+		late = true
+	}
 	if w != nil && !late {
 		answer := do(w)
 		if !lost {
