Let restarted hosts own at once when none is stronger

Cause: after all hosts have lost power, each waited up to 0.9 s (1.5 s times what its share lacks of a core) so that a stronger host could join first, also where all are equal. The leases of what runs go on lapsing in that time. Change: a starting host reads the last owner's share from its name and waits only if that was larger. A member that is an earlier process of the same host is taken out at once. TestRestartedHostsOwnAtOnce: 1.72 s before, below its bound of 0.5 s after.

--- a/internal/engine/tenure/tenure.go
+++ b/internal/engine/tenure/tenure.go
@@ -132,8 +132,7 @@
 // Only the owner stays in the group, because each change of the members may move its
 // partition. The other hosts stand by: they watch the owner and join when it has gone.
 func (t *Tenure) Run(ctx context.Context) error {
-	// Hosts with a larger share come first.
-	pause(ctx, time.Duration(float64(startSpread)*max(0, 1-t.CPUShare))+rand.N(startJitter))
+	t.waitForStronger(ctx)
 	for ctx.Err() == nil {
 		if t.joined {
 			t.stay(ctx)
@@ -149,11 +148,25 @@
 	return ctx.Err()
 }
 
+// waitForStronger lets hosts with a larger share join first when all hosts start
+// together. The last owner's name tells how large shares are: a host that has as much
+// need not wait.
+func (t *Tenure) waitForStronger(ctx context.Context) {
+	spread := time.Duration(float64(startSpread) * max(0, 1-t.CPUShare))
+	for waited := time.Duration(0); waited < spread && ctx.Err() == nil; waited += watchInterval {
+		if last, _ := t.Owner(); last != "" && shareOf(last) <= t.CPUShare {
+			break
+		}
+		pause(ctx, watchInterval)
+	}
+	pause(ctx, rand.N(startJitter))
+}
+
 const (
 	// startSpread is how much later a host without any processor would first join than
 	// one with a whole core.
 	startSpread = 1500 * time.Millisecond
-	startJitter = 300 * time.Millisecond
+	startJitter = 100 * time.Millisecond
 	// watchInterval is the time between two looks at the owner's signs of life.
 	watchInterval = 80 * time.Millisecond
 	// checkInterval is the time between two looks at who holds what, at the least. It
@@ -218,12 +231,18 @@
 	switch {
 	case holder == "" || holder == t.Member() || shareOf(holder) < t.CPUShare:
 		t.enter(ctx, holder)
-	case holder == silent:
-		t.evict(ctx, silent)
+	case holder == silent || t.isFormerSelf(holder):
+		t.evict(ctx, holder)
 		t.enter(ctx, holder)
 	}
 }
 
+// isFormerSelf tells whether the member is an earlier process of this host, which is gone.
+func (t *Tenure) isFormerSelf(member string) bool {
+	host, _, _ := strings.Cut(member, memberSeparator)
+	return host == t.Host
+}
+
 // enter joins the group.
 func (t *Tenure) enter(ctx context.Context, holder string) {
 	t.Logger.Info("joining the group", zap.String("holder", holder))
