Follow contact with the store in a host's readiness

Cause: a host that is cut off from the store was ready until the proof of its manifest was 2.2 s old, and refused its callers meanwhile; the balancer needs two more seconds. The decision moved from the listener to the engine; changes of readiness are logged with their reason.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -141,6 +141,41 @@
 	e.Intake.SetRevokeBound(revoke)
 }
 
+const (
+	// readyProof is the age of the manifest's proof up to which a host takes callers.
+	readyProof = 2200 * time.Millisecond
+	// readyContact is the age of the last complete read of any topic up to which a host
+	// takes callers: it can accept nothing without the store. Reads wait at the store for
+	// 0.3 s at most, and a slow store takes another quarter of a second.
+	readyContact = 1200 * time.Millisecond
+)
+
+// Ready tells whether this host can serve callers, and if not, why.
+func (e *Engine) Ready() (ok bool, why string) {
+	view := e.Operator.View()
+	contact, known := e.storeContact()
+	switch {
+	case view.Manifest == nil:
+		return false, "no manifest yet"
+	case !view.Proved || view.Age > readyProof:
+		return false, "the manifest cannot be confirmed"
+	case !known || contact > readyContact:
+		return false, "the store does not answer"
+	}
+	return true, ""
+}
+
+// storeContact returns how long ago a topic was last read completely; ok is false before
+// the first such read.
+func (e *Engine) storeContact() (age time.Duration, ok bool) {
+	for _, f := range e.followers {
+		if proof, known := f.Proof(); known && (!ok || proof < age) {
+			age, ok = proof, true
+		}
+	}
+	return age, ok
+}
+
 // Owns tells whether this host is the scheduler.
 func (e *Engine) Owns() bool { return e.tenure.Epoch() != 0 }
 
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -27,8 +27,6 @@
 )
 
 const (
-	// readyProof is the age of the manifest's proof up to which a host takes callers.
-	readyProof = 2200 * time.Millisecond
 	// metricsPort is the port that deploy/system.toml names for scrapes.
 	metricsPort = 9464
 	// idleTimeout and headerTimeout bound callers' connections.
@@ -52,6 +50,7 @@
 	log      *zap.Logger
 	engine   *engine.Engine
 	stopping atomic.Bool
+	ready    atomic.Bool // the last answer to the balancer
 }
 
 // New wires a process together; nothing runs before Run. dropped counts the lines that
@@ -173,8 +172,15 @@
 
 // serveReady answers the balancer's probe.
 func (h *Host) serveReady(rw http.ResponseWriter, _ *http.Request) {
-	view := h.engine.Operator.View()
-	if h.stopping.Load() || view.Manifest == nil || !view.Proved || view.Age > readyProof {
+	ok, why := h.engine.Ready()
+	if h.stopping.Load() {
+		ok, why = false, "the host is stopping"
+	}
+	if h.ready.Swap(ok) != ok {
+		h.log.Info("readiness changed", zap.Bool("ready", ok), zap.String("why", why),
+			zap.Duration("proof_age", h.engine.Operator.View().Age))
+	}
+	if !ok {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
