Find slow workers by the pace of their runs

Change: a run's speed is taken from its percentages. A run that falls below 0.4 of its own best speed, or of the median of its gang, or stands still for 2.5 s, marks its worker slow for 4 s: others are preferred. The run, or its gang, starts again elsewhere when that is faster even if the worker recovers in 5 s, twice at most. This replaces the check of single runs that stand still. Workers with a new urgent run are looked at after 0.7 s.

--- a/internal/engine/outage_test.go
+++ b/internal/engine/outage_test.go
@@ -91,3 +91,36 @@
 		}
 	})
 }
+
+// TestSlowWorkerIsAvoided guards against an urgent gang that is late because one of its
+// members is on a slow worker, and against the next one that goes to the same worker.
+func TestSlowWorkerIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 8})
+		defer c.close()
+		c.workers[0].SetSlow(6)
+		first := job(1, work.Step{Tasks: 4, Demand: large, EstimateMS: 5000, Gang: true})
+		c.submit("urgent", first, standin.Behaviour{Work: 5 * time.Second})
+		time.Sleep(3 * time.Second)
+		second := job(2, work.Step{Tasks: 3, Demand: large, EstimateMS: 1000, Gang: true})
+		c.submit("urgent", second, standin.Behaviour{Work: time.Second})
+		c.await(second.ID, work.Completed, 1500*time.Millisecond)
+		// Two samples, a stop of at most 0.9 s, the work, and a read to show it.
+		c.await(first.ID, work.Completed, 5*time.Second)
+	})
+}
+
+// TestLongTaskIsLeftAlone guards against a task that is started again and again because it
+// takes much longer than estimated, on sound workers.
+func TestLongTaskIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		j := job(1, work.Step{Tasks: 1, Demand: small, EstimateMS: 1000})
+		c.submit("normal", j, standin.Behaviour{Work: 8 * time.Second})
+		c.await(j.ID, work.Completed, 13*time.Second)
+		if n := len(c.fleet.Ledger().Runs(work.TaskName{Job: j.ID})); n > 2 {
+			t.Errorf("the task had %d runs", n)
+		}
+	})
+}
--- a/internal/engine/scheduler/ends.go
+++ b/internal/engine/scheduler/ends.go
@@ -14,7 +14,7 @@
 	r.worker.removeRun(r)
 	t.metrics.endings[how].Inc(1)
 	t.log.Info("run over", zap.Stringer("run", r.name), zap.String("worker", r.worker.key), zap.Stringer("how", how),
-		zap.Duration("after", t.Now()-r.startedAt), zap.Float64("percent", r.percent))
+		zap.Duration("after", t.Now()-r.startedAt), zap.Float64("percent", r.percent), zap.Float64("speed", r.pace.last))
 	if checkpoint == "" {
 		checkpoint = r.checkpoint
 	}
--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -189,6 +189,9 @@
 		order.LeaseUntilMS = t.lease(w, now)
 		if w.reached && !w.needsAnswer() {
 			order.Wait = min(max(t.bounds.LeaseMax/busyShare, busyLeast), busyMost)
+			if w.hasFreshUrgent(now) {
+				order.Wait = min(order.Wait, firstSample)
+			}
 		}
 	}
 	ref := w.ref()
@@ -306,35 +309,13 @@
 	for _, r := range w.sortedRuns() {
 		if !running[r.name] {
 			t.missing(r, sent)
-		} else {
-			t.checkStall(r, now)
 		}
 	}
-}
-
-const (
-	// stalledAfter is for how long a run may report the same progress. The slowest sound
-	// runs rise by a point in that time, and reports come once a second.
-	stalledAfter = 2500 * time.Millisecond
-	// stalledPercent is the progress up to which a stalled run that saves nothing is
-	// worth starting again elsewhere.
-	stalledPercent = 40
-	// stalledRest is how long a worker with a stalled run gets nothing new.
-	stalledRest = 4 * time.Second
-)
-
-// checkStall stops a single run that makes no progress, so that it goes on elsewhere. All
-// members of a gang stand still together, which does not tell whose worker is at fault.
-func (t *term) checkStall(r *run, now time.Duration) {
-	if r.stopping || r.job == nil || r.step().Gang || r.percent >= 100 || now-r.moved < stalledAfter ||
-		(r.percent > stalledPercent && !r.step().SavesProgress) {
-		return
+	for _, r := range w.sortedRuns() {
+		if running[r.name] {
+			t.checkProgress(r, now)
+		}
 	}
-	t.log.Warn("a run makes no progress; it is started again elsewhere", zap.Stringer("run", r.name),
-		zap.String("worker", r.worker.key), zap.Float64("percent", r.percent), zap.Duration("for", now-r.moved))
-	r.job.avoid[r.worker.key] = true
-	r.worker.rests = max(r.worker.rests, now+stalledRest)
-	t.askStop(r)
 }
 
 // takeRunning takes the report of one run that is on the worker.
@@ -352,15 +333,13 @@
 	}
 	r.absent, r.reported = false, true
 	if r.startedAt == 0 {
-		r.startedAt = now
+		r.startedAt, r.inherited = now, true
 	}
 	if r.stopDone != 0 && now-r.stopDone > t.bounds.StopTimeout+stopRepeat {
 		t.log.Warn("a run goes on after its stop; it is stopped again", zap.String("worker", w.key), zap.Stringer("run", r.name))
 		r.stopDone, r.stopSent = 0, 0
 	}
-	if entry.Percent > r.percent || r.moved == 0 {
-		r.percent, r.moved = entry.Percent, now
-	}
+	r.percent = max(r.percent, entry.Percent)
 	if entry.Checkpoint != "" && entry.Checkpoint != r.checkpoint {
 		r.checkpoint, r.savedAt = entry.Checkpoint, now
 	}
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -116,7 +116,7 @@
 	if answer.Outcome == workers.Accepted {
 		t.metrics.startTime.Update(now - sent)
 		t.log.Info("run started", zap.Stringer("run", r.name), zap.String("worker", w.key), zap.Duration("took", now-sent), zap.Bool("repeated", open))
-		r.phase, r.startedAt, r.moved = runStarted, now, now
+		r.phase, r.startedAt = runStarted, now
 		w.lookAt = now
 		return
 	}
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -144,10 +145,11 @@
 	if !s.CouldEver(ask) || (step.Rack != "" && now-q.job.waiting[q.step] > anyRackAfter) {
 		ask.AnyRack = true
 	}
-	s.Avoid(q.job.avoid)
+	avoid := t.avoided(q.job, now)
+	s.Avoid(avoid)
 	nodes := s.Place(ask)
 	s.Release()
-	if len(nodes) == 0 && len(q.job.avoid) > 0 {
+	if len(nodes) == 0 && len(avoid) > 0 {
 		nodes = s.Place(ask)
 	}
 	if len(nodes) > 0 {
@@ -168,6 +170,17 @@
 	}
 }
 
+// avoided are the workers that get tasks of the job only if no others can take them.
+func (t *term) avoided(j *job, now time.Duration) map[string]bool {
+	avoid := maps.Clone(j.avoid)
+	for key, w := range t.workers {
+		if now < w.slowUntil {
+			avoid[key] = true
+		}
+	}
+	return avoid
+}
+
 // assign gives the waiting tasks workers, in order, and starts them once that is
 // recorded.
 func (t *term) assign(q ready, nodes []*plan.Node, now time.Duration) {
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -27,6 +27,8 @@
 	// avoid are workers on which runs of the job have failed: the next attempt goes to
 	// others where there are some.
 	avoid map[string]bool
+	// moves counts how often a task, or a gang by its first, was taken off a slow worker.
+	moves map[work.TaskName]int
 	// waiting is since when a step has been ready and not placed, by step.
 	waiting map[int]time.Duration
 }
@@ -71,11 +73,12 @@
 	// absent runs were not in the last report; reported ones were in a report of the
 	// life of the worker that they are on.
 	absent, reported bool
-	// startedAt is when the start was answered, or the run was first reported.
-	startedAt time.Duration
-	percent   float64
-	// moved is when the percentage last rose.
-	moved      time.Duration
+	// startedAt is when the start was answered, or the run was first reported; inherited
+	// runs had begun before.
+	startedAt  time.Duration
+	inherited  bool
+	percent    float64
+	pace       pace
 	checkpoint string
 	savedAt    time.Duration
 }
@@ -122,9 +125,11 @@
 	// rests is until when the worker gets nothing new; failures in a row lengthen it.
 	rests    time.Duration
 	failures int
-	looking  bool
-	lookAt   time.Duration // when the next look is due
-	misses   int           // looks in a row without an answer
+	// slowUntil is until when others are preferred, because runs here lag behind.
+	slowUntil time.Duration
+	looking   bool
+	lookAt    time.Duration // when the next look is due
+	misses    int           // looks in a row without an answer
 }
 
 func (w *worker) ref() workers.Ref { return workers.Ref{ID: w.entry.ID, Address: w.entry.Address} }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -133,6 +133,8 @@
 	beats    int
 	failing  bool // fails all that it starts
 	stalled  bool // its new runs make no progress
+	// slowness is by what factor its new runs take longer; 0 means 1.
+	slowness float64
 }
 
 // SetFailing makes the worker fail all that it starts, or run it properly.
@@ -165,6 +167,13 @@
 	w.stalled = stalled
 }
 
+// SetSlow makes runs that start on the worker take longer by a factor.
+func (w *Worker) SetSlow(factor float64) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.slowness = factor
+}
+
 // Add starts a worker.
 func (f *Fleet) Add(e workers.Entry) *Worker {
 	f.mu.Lock()
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -27,6 +27,9 @@
 		worker: w, name: o.Run, job: job, key: gangKey{o.Run.Task.Job, o.Run.Task.Step, o.Run.Run},
 		base: progressOf(o.Checkpoint), speed: 1, began: time.Now(),
 	}
+	if w.slowness > 0 {
+		r.speed /= w.slowness
+	}
 	b := job.behave(o.Run.Task.Step, o.Run.Task.Index)
 	r.total = b.Work
 	w.runs[o.Run.Task] = r
@@ -62,7 +65,7 @@
 	}
 	for _, m := range g.members {
 		if m.step().SameRack && len(racks) > 1 {
-			m.speed = 1 / f.FarFactor
+			m.speed /= f.FarFactor
 		}
 		if m.timer != nil {
 			m.timer.Stop()
