Let a gang of the stand-in end when its last member is done

On the platform the last member decides: gangs with one slow member ended with it. Change: a gang ends once all of its members have done their work.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -70,9 +70,10 @@
 
 // gang tracks the members of one run of a gang.
 type gang struct {
-	members map[int]*liveRun
-	started bool
-	over    bool
+	members  map[int]*liveRun
+	finished int // members that have done their work
+	started  bool
+	over     bool
 }
 
 // NewFleet returns a fleet without workers.
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -111,10 +111,21 @@
 			r.worker.end(r, workers.EndedFailed)
 			return
 		}
-		r.worker.end(r, workers.EndedDone)
+		r.finish()
 	})
 }
 
+// finish ends a run that has done its work; a gang ends once all members have.
+func (r *liveRun) finish() {
+	if r.step().Gang {
+		g := r.worker.fleet.gangs[r.key]
+		if g.finished++; g.finished < len(g.members) {
+			return
+		}
+	}
+	r.worker.end(r, workers.EndedDone)
+}
+
 // counted is the task that failures are counted for: of a gang its first.
 func (r *liveRun) counted() work.TaskName {
 	n := r.name.Task
