Keep claimed room from work that is placed earlier in the queue

They belong to a step, shrink as its tasks are placed, and are dropped when a claimed worker is not usable any more. TestClaimedRoomIsKept fails before.

--- a/internal/engine/outage_test.go
+++ b/internal/engine/outage_test.go
@@ -124,3 +124,26 @@
 		}
 	})
 }
+
+// TestClaimedRoomIsKept guards against room that is being freed for an urgent gang and goes
+// to later urgent work meanwhile, so that the gang stops more work again and again.
+func TestClaimedRoomIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
+		defer c.close()
+		for i := range 24 {
+			batch := job(100+i, work.Step{Tasks: 2, Demand: small, EstimateMS: 60_000})
+			c.submit("batch", batch, standin.Behaviour{Work: 60 * time.Second})
+		}
+		time.Sleep(500 * time.Millisecond)
+		gang := job(1, work.Step{Tasks: 6, Demand: large, EstimateMS: 2000, Gang: true})
+		c.submit("urgent", gang, standin.Behaviour{Work: 2 * time.Second})
+		for i := range 8 {
+			time.Sleep(50 * time.Millisecond)
+			single := job(10+i, work.Step{Tasks: 1, Demand: small, EstimateMS: 100})
+			c.submit("urgent", single, standin.Behaviour{Work: time.Second})
+		}
+		// The stops take 0.45 s each; the gang has waited as long already.
+		c.await(gang.ID, work.Completed, 2*time.Second+500*time.Millisecond)
+	})
+}
--- a/internal/engine/plan/preempt.go
+++ b/internal/engine/plan/preempt.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// Unclaim gives the room of claims back.
+func (s *Snapshot) Unclaim(a *Ask, claims map[string]int) {
+	for _, n := range s.Nodes {
+		if k := claims[n.Key]; k > 0 {
+			n.Free = n.Free.Plus(a.Step.Demand.Times(k))
+		}
+	}
+}
+
+// Has tells whether all claimed workers are in the snapshot.
+func (s *Snapshot) Has(claims map[string]int) bool {
+	found := 0
+	for _, n := range s.Nodes {
+		if claims[n.Key] > 0 {
+			found++
+		}
+	}
+	return found == len(claims)
+}
+
 // evict chooses victims on the nodes, cheapest for the room that they free first.
 func evict(a *Ask, nodes []*Node, victims []Victim) *Eviction {
 	freed := make(map[*Node]work.Demand, len(nodes))
--- a/internal/engine/scheduler/evict.go
+++ b/internal/engine/scheduler/evict.go
@@ -24,19 +24,19 @@
 // evict stops work of lower priority so that the ask fits. It tells whether room is
 // being made for the ask.
 func (t *term) evict(s *plan.Snapshot, q ready, ask *plan.Ask, now time.Duration) bool {
-	if now < q.job.evicting {
-		s.Claim(ask, q.job.claims)
+	if held := q.job.claimed(q.step, now); held != nil && s.Has(held) {
+		s.Claim(ask, held)
 		return true
 	}
+	delete(q.job.claims, q.step)
 	runs := t.evictable(q)
 	victims, units := t.victims(s, runs, now)
 	eviction := s.Preempt(ask, victims)
 	if eviction == nil {
 		return false
 	}
-	q.job.evicting = now + t.bounds.StopTimeout + evictAgain
-	q.job.claims = eviction.Claims
-	s.Claim(ask, q.job.claims)
+	q.job.claims[q.step] = claim{until: now + t.bounds.StopTimeout + evictAgain, tasks: eviction.Claims}
+	s.Claim(ask, eviction.Claims)
 	for _, v := range eviction.Victims {
 		u := units[v.ID]
 		t.metrics.preemptions.Inc(1)
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -44,6 +44,11 @@
 	}
 	t.wake = now + replanAfter
 	snapshots := t.snapshots(now)
+	for _, q := range queue {
+		if s := snapshots[q.job.Service]; s != nil {
+			s.Claim(q.ask(), q.job.claimed(q.step, now))
+		}
+	}
 	reservations := 0
 	for _, q := range queue {
 		s := snapshots[q.job.Service]
@@ -139,9 +144,14 @@
 	return tasks
 }
 
+// ask is the step as the planner sees it.
+func (q ready) ask() *plan.Ask {
+	return &plan.Ask{Key: plan.StepKey{Job: q.job.ID, Step: q.step}, Step: &q.job.Steps[q.step], Tasks: len(q.tasks)}
+}
+
 func (t *term) placeStep(s *plan.Snapshot, q ready, now time.Duration, reservations *int) {
-	step := &q.job.Steps[q.step]
-	ask := &plan.Ask{Key: plan.StepKey{Job: q.job.ID, Step: q.step}, Step: step, Tasks: len(q.tasks)}
+	step, ask := &q.job.Steps[q.step], q.ask()
+	s.Unclaim(ask, q.job.claimed(q.step, now))
 	if !s.CouldEver(ask) || (step.Rack != "" && now-q.job.waiting[q.step] > anyRackAfter) {
 		ask.AnyRack = true
 	}
@@ -154,9 +164,11 @@
 	}
 	if len(nodes) > 0 {
 		t.assign(q, nodes, now)
+		q.job.useClaims(q.step, nodes)
 	}
 	if len(nodes) == len(q.tasks) {
 		delete(q.job.waiting, q.step)
+		delete(q.job.claims, q.step)
 		return
 	}
 	rest := *ask
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -19,11 +19,8 @@
 	shown    string
 	// runs are those of the job that are not known to be over.
 	runs map[*run]bool
-	// evicting is until when stops for this job's sake are on their way, so that they
-	// are not ordered twice.
-	evicting time.Duration
-	// claims are the tasks that go to each worker once the stops are done.
-	claims map[string]int
+	// claims hold the room that stops are freeing for a step, by step.
+	claims map[int]claim
 	// avoid are workers on which runs of the job have failed: the next attempt goes to
 	// others where there are some.
 	avoid map[string]bool
@@ -33,6 +30,35 @@
 	waiting map[int]time.Duration
 }
 
+// claim is room that is kept for a step while work is being stopped for it.
+type claim struct {
+	// until is when the stops should be done; they are not ordered twice before.
+	until time.Duration
+	// tasks go to each worker, by key.
+	tasks map[string]int
+}
+
+// claimed are the tasks of a step that room is kept for, by worker.
+func (j *job) claimed(step int, now time.Duration) map[string]int {
+	held := j.claims[step]
+	if now >= held.until {
+		return nil
+	}
+	return held.tasks
+}
+
+// useClaims takes placed tasks off the step's claims.
+func (j *job) useClaims(step int, nodes []*plan.Node) {
+	tasks := j.claims[step].tasks
+	for _, n := range nodes {
+		if tasks[n.Key] > 1 {
+			tasks[n.Key]--
+		} else {
+			delete(tasks, n.Key)
+		}
+	}
+}
+
 // active tells whether the job may get new runs.
 func (j *job) active() bool { return !j.cancelled && !j.state.Status.Ended() }
 
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -178,7 +178,7 @@
 }
 
 func (t *term) addJob(w *work.Job, state *work.State) *job {
-	j := &job{Job: w, state: state, runs: map[*run]bool{}, avoid: map[string]bool{}, moves: map[work.TaskName]int{}, waiting: map[int]time.Duration{}}
+	j := &job{Job: w, state: state, runs: map[*run]bool{}, avoid: map[string]bool{}, moves: map[work.TaskName]int{}, waiting: map[int]time.Duration{}, claims: map[int]claim{}}
 	t.jobs[w.ID] = j
 	return j
 }
