Wait for late orders at a worker's next life before its runs lapse

A start that got no answer was repeated and reached the next life of its worker; the run had been moved there, but that life had not answered a look yet, and its runs lapsed at once because only the bound of the takeover counted for workers that were not reached. Change: runs that move to a next life keep it until a report settles them, or until an order that is carried out 12 s late has lapsed.

--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -27,6 +27,9 @@
 	openLook = 250 * time.Millisecond
 	// missLook is the time between looks at a worker that does not answer.
 	missLook = 300 * time.Millisecond
+	// lateMost is how long after its sending an order without an answer may be carried
+	// out; the platform says 2 to 12 s.
+	lateMost = 12 * time.Second
 	// silent is the age of the last answer from which a worker gets nothing new.
 	silent = 4 * time.Second
 )
@@ -96,6 +99,7 @@
 		w.removeRun(r)
 		r.worker = by
 		by.addRun(r)
+		by.heldUntil = t.Now() + lateMost + t.longestLease()
 		if task := r.task(); task != nil {
 			task.Worker = by.key
 			t.touch(r.job)
@@ -154,11 +158,10 @@
 	if len(w.runs) == 0 {
 		return
 	}
-	if w.reached {
-		if w.misses == 0 || w.surely(now) <= w.leaseUntilMS+lapseSlack.Milliseconds() {
-			return
-		}
-	} else if now < t.inherited {
+	switch {
+	case now < w.heldUntil, !w.reached && now < t.inherited:
+		return
+	case w.reached && (w.misses == 0 || w.surely(now) <= w.leaseUntilMS+lapseSlack.Milliseconds()):
 		return
 	}
 	t.log.Warn("the lease of a worker has lapsed", zap.String("worker", w.key), zap.Int("runs", len(w.runs)),
@@ -168,6 +171,11 @@
 	}
 }
 
+// longestLease is how long after its granting a lease has surely lapsed.
+func (t *term) longestLease() time.Duration {
+	return time.Duration(float64(t.bounds.LeaseMax)/clockSlowest) + lapseSlack
+}
+
 // sortedRuns are the worker's runs in a stable order.
 func (w *worker) sortedRuns() []*run {
 	return slices.SortedFunc(maps.Values(w.runs), func(a, b *run) int {
@@ -316,6 +324,9 @@
 			t.checkProgress(r, now)
 		}
 	}
+	if !w.needsAnswer() {
+		w.heldUntil = 0
+	}
 }
 
 // takeRunning takes the report of one run that is on the worker.
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -142,8 +142,11 @@
 	// leaseUntilMS is the latest end of a lease that this term asked for, on the
 	// worker's clock.
 	leaseUntilMS int64
-	runs         map[work.RunName]*run
-	used         work.Demand
+	// heldUntil is until when starts that were sent to an earlier life may run on this
+	// one; 0 once a report has settled them.
+	heldUntil time.Duration
+	runs      map[work.RunName]*run
+	used      work.Demand
 	// endsSeen and endsRecorded are numbers of ends: handled, and in the store.
 	endsSeen, endsRecorded int64
 	// stops counts the runs that are to be stopped.
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	// The former owner may have joined the group just before it lost it.
-	t.inherited = t.Now() + t.Tenure.TTL + renewGrace + lapseSlack + time.Duration(float64(t.bounds.LeaseMax)/clockSlowest)
+	t.inherited = t.Now() + t.Tenure.TTL + renewGrace + t.longestLease()
 	newWorkerList(t).Reset(list)
 	t.drainEvents()
 	t.zonesOut = t.Operator.ZonesOut()
