Move runs off workers that leave before the runs end

Change: a run that needs longer than its worker stays, by its measured speed or by twice its estimate, is stopped with its gang: at once, or 1.2 s before the worker may leave if it saves progress. TestShortNoticeSavesProgress fails before.

--- a/internal/engine/outage_test.go
+++ b/internal/engine/outage_test.go
@@ -215,3 +215,25 @@
 		c.store.SetFaults(standin.StoreFaults{})
 	})
 }
+
+// TestShortNoticeSavesProgress guards against work that is lost, and a job that waits for a
+// lease to lapse, because its worker is taken away at short notice.
+func TestShortNoticeSavesProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
+		defer c.close()
+		for id, saves := range map[int]bool{1: true, 2: false} {
+			j := job(id, work.Step{Tasks: 1, Demand: large, EstimateMS: 10_000, SavesProgress: saves})
+			c.submit("normal", j, standin.Behaviour{Work: 10 * time.Second})
+			time.Sleep(4 * time.Second)
+			c.worker(c.runsOf(j)[0].Worker).TakeAway(2 * time.Second)
+			// What is saved when it stops: all work up to 1.2 s before the worker leaves,
+			// so 5.2 s are left of 10; else all of it. A restored run takes 0.25 s more.
+			within := 8 * time.Second
+			if !saves {
+				within = 12 * time.Second
+			}
+			c.await(j.ID, work.Completed, within)
+		}
+	})
+}
--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -65,6 +65,7 @@
 	}
 	if e.Draining && !w.entry.Draining {
 		t.log.Info("worker drains", zap.String("worker", key), zap.Int64("remaining_ms", e.RemainingMS))
+		w.drains(e.RemainingMS, t.Now())
 	}
 	w.entry, w.listed = e, !w.dead
 	if w.clockAt == 0 {
@@ -129,6 +130,7 @@
 			continue
 		}
 		t.sweepLapse(w, now)
+		t.sweepDrain(w, now)
 		t.sweep(w, now)
 	}
 }
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -154,6 +154,8 @@
 	// rests is until when the worker gets nothing new; failures in a row lengthen it.
 	rests    time.Duration
 	failures int
+	// leaves is when a draining worker may leave at the earliest.
+	leaves time.Duration
 	// slowUntil is until when others are preferred, because runs here lag behind.
 	slowUntil time.Duration
 	looking   bool
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -286,6 +286,16 @@
 	})
 }
 
+// TakeAway announces that the worker leaves, and ends it after the given time without
+// another word: its entry stays until its silence is noticed.
+func (w *Worker) TakeAway(notice time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.entry.Draining, w.entry.RemainingMS = true, notice.Milliseconds()
+	w.publish()
+	time.AfterFunc(notice, w.Crash)
+}
+
 // Close ends the fleet's goroutines.
 func (f *Fleet) Close() {
 	f.mu.Lock()
