Read statuses when callers ask at hosts that cannot become the owner soon

Change: hosts that leave ownership to stronger ones read statuses as seldom as submissions. A caller who asks for a job that has not ended in the copy gets a fresh read, shared with other callers and given up after 150 ms.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -36,9 +36,10 @@
 	// hosts that only report them: both change several times a second, and each read has
 	// its price at each host.
 	followInterval = 200 * time.Millisecond
-	// outrankedInterval is the same for submissions at hosts that leave ownership to
-	// others with more processor, which are most hosts of a large deployment. A job that
-	// such a host does not know yet is looked up at the store.
+	// outrankedInterval is the same at hosts that leave ownership to others with more
+	// processor, which are most hosts of a large deployment. A job that such a host does
+	// not know yet, or that has not ended as far as it knows, is looked up at the store
+	// when a caller asks.
 	outrankedInterval = 800 * time.Millisecond
 	// tenureTTL is how long a silent scheduler stays the owner.
 	tenureTTL = 1200 * time.Millisecond
@@ -86,7 +87,12 @@
 		})
 	}
 	e := &Engine{Jobs: replica.NewJobs(o.Now, part("replica")), Operator: replica.NewOperator(o.DecodeOperator, part("manifest"))}
-	reporting := func() time.Duration { return followInterval }
+	reporting := func() time.Duration {
+		if e.tenure.Outranked() {
+			return outrankedInterval
+		}
+		return followInterval
+	}
 	scheduling := func() time.Duration {
 		switch {
 		case e.Owns():
@@ -111,7 +117,7 @@
 		Bounds: o.Bounds, Now: o.Now, Wall: o.Wall, Metrics: o.Metrics, Logger: part("scheduler"),
 	})
 	e.Intake = intake.New(intake.Options{
-		Store: o.Store, Operator: e.Operator, Jobs: e.Jobs, Submissions: submissions,
+		Store: o.Store, Operator: e.Operator, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses,
 		RevokeBound: o.RevokeBound, Now: o.Wall, Metrics: o.Metrics, Logger: part("intake"),
 	})
 	return e
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -72,6 +72,10 @@
 	firstRetry = 50 * time.Millisecond
 	// keyMargin is kept of the time within which a revoked key must be refused.
 	keyMargin = 500 * time.Millisecond
+	// freshStatus is the age of the statuses up to which a caller is answered from the
+	// copy; refreshTimeout bounds the read of newer ones, which a slow store may miss.
+	freshStatus    = 50 * time.Millisecond
+	refreshTimeout = 150 * time.Millisecond
 	// maxConcurrent bounds the calls that wait for the store at once.
 	maxConcurrent = 256
 )
@@ -82,6 +86,7 @@
 	Operator    *replica.Operator
 	Jobs        *replica.Jobs
 	Submissions *replica.Follower
+	Statuses    *replica.Follower
 	// RevokeBound is by when a revoked key must be refused.
 	RevokeBound time.Duration
 	// Now reads the wall clock, for the time of acceptance.
@@ -216,6 +221,9 @@
 		s.log("status", c, id, a)
 		return a
 	}
+	if !e.Cancelled && !e.Status.Ended() {
+		e = s.refresh(ctx, id, e)
+	}
 	status := e.Status
 	if e.Cancelled && !status.Ended() {
 		status = work.Cancelled
@@ -223,6 +231,24 @@
 	return Answer{Outcome: OK, Status: status}
 }
 
+// refresh reads newer statuses for a job that has not ended in the copy.
+func (s *Service) refresh(ctx context.Context, id string, e replica.Entry) replica.Entry {
+	age, ok := s.Statuses.Proof()
+	if ok && age < freshStatus {
+		return e
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := s.Statuses.SharedSync(ctx); err != nil {
+		s.Logger.Debug("statuses could not be refreshed; the copy answers", zap.String("job", id), zap.Duration("age", age), zap.Error(err))
+		return e
+	}
+	if newer, known := s.Jobs.Get(id); known && newer.Job != nil {
+		return newer
+	}
+	return e
+}
+
 // lookup finds a job in the copy. An unknown one is looked up at the store: it may have
 // been accepted at another host a moment ago.
 func (s *Service) lookup(ctx context.Context, id string) (replica.Entry, bool, *Answer) {
