Serve repeated jobs, long-running tasks and fillers

Change: a job has occurrences; steps are numbered through over all of them, and a step is not placed before its occurrence is due. Long-running tasks are started again however they end, are placed first within their priority, are the last to be preempted, and never beyond the number that may be away. Fillers take no processor room and are kept on other workers than tasks with a response-time target, in either order of arrival, so that no pacing is needed. Jobs with times do not count as waiting. Preemption for tasks that need not start together now makes room for as many as it can instead of for all or none. Four new tests; each is red with its mechanism broken (due time, restart, sparing, separation).

--- /dev/null
+++ b/internal/engine/kinds_test.go
@@ -0,0 +1,115 @@
+package engine_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/engine/work"
+	"github.com/daisyfold/daisyfold/internal/engine/workers"
+	"github.com/daisyfold/daisyfold/internal/standin"
+)
+
+// TestOccurrences guards against occurrences of a repeated job that start before they are
+// due, are lost with their scheduler, or run in another order than their steps allow. The
+// ledger judges ORDER and TWICE.
+func TestOccurrences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 6})
+		defer c.close()
+		j := job(1, work.Step{Tasks: 2, Demand: small, EstimateMS: 500})
+		j.Steps = append(j.Steps, work.Step{Tasks: 1, Demand: small, EstimateMS: 500, After: []int{0}})
+		j.Repeats, j.PeriodMS = 5, 1000
+		j.FirstMS = time.Now().Add(2 * time.Second).UnixMilli()
+		c.submit("urgent", j, standin.Behaviour{Work: 500 * time.Millisecond})
+		if n := c.anyHost().Jobs.Waiting("h/urgent/"); n != 0 {
+			t.Errorf("%d jobs are waiting; jobs with times do not count", n)
+		}
+		time.Sleep(3500 * time.Millisecond)
+		c.crash(c.owner().name) // in the middle of the second occurrence
+		c.await(j.ID, work.Completed, 20*time.Second)
+		for k := range j.Repeats {
+			due := time.UnixMilli(j.Due(k * len(j.Steps)))
+			runs := c.fleet.Ledger().Runs(work.TaskName{Job: j.ID, Occurrence: k})
+			if len(runs) != 1 {
+				t.Fatalf("occurrence %d had %d runs", k, len(runs))
+			}
+			// A takeover may delay the second and the third one.
+			if late := runs[0].Begin.Sub(due); late > 1500*time.Millisecond {
+				t.Errorf("occurrence %d began %s after it was due", k, late)
+			}
+		}
+	})
+}
+
+// TestLongRunningTasksComeBack guards against a long-running task that stays away after it
+// has ended, whatever the reason, and against one that counts failures as attempts.
+func TestLongRunningTasksComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
+		defer c.close()
+		j := job(1, work.Step{Tasks: 3, Demand: small, LongRunning: true})
+		c.submit("normal", j, standin.Behaviour{Work: time.Second, Fails: 6})
+		time.Sleep(20 * time.Second) // each of its tasks has failed six times
+		if n := len(c.runsOf(j)); n != 3 {
+			t.Fatalf("%d of 3 tasks run after failures", n)
+		}
+		c.worker(c.runsOf(j)[0].Worker).Restart()
+		time.Sleep(3 * time.Second)
+		if n := len(c.runsOf(j)); n != 3 {
+			t.Errorf("%d of 3 tasks run 3 s after a worker has started again", n)
+		}
+		if s := c.status(j.ID); s != work.Running {
+			t.Errorf("the job is shown as %c", s)
+		}
+		c.anyHost().Intake.Cancel(t.Context(), call("/normal/"+j.ID), j.ID)
+		time.Sleep(2 * time.Second)
+		if n := len(c.runsOf(j)); n != 0 {
+			t.Errorf("%d tasks run after the job was cancelled", n)
+		}
+	})
+}
+
+// TestUrgentSparesServingTasks guards against preemption that takes more tasks of a
+// long-running step away at once than may be missed. The ledger judges AVAIL.
+func TestUrgentSparesServingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		serving := job(1, work.Step{Tasks: 4, Demand: large, LongRunning: true, MayMiss: 1})
+		c.submit("batch", serving, standin.Behaviour{})
+		time.Sleep(2 * time.Second)
+		urgent := job(2, work.Step{Tasks: 3, Demand: large, EstimateMS: 1000})
+		c.submit("urgent", urgent, standin.Behaviour{Work: time.Second})
+		c.await(urgent.ID, work.Completed, 12*time.Second)
+		time.Sleep(3 * time.Second)
+		if n := len(c.runsOf(serving)); n != 4 {
+			t.Errorf("%d of 4 serving tasks run", n)
+		}
+		if n := c.fleet.Ledger().Count(workers.EndedStopped.String()); n == 0 {
+			t.Error("nothing was stopped for the urgent job")
+		}
+	})
+}
+
+// TestFillersKeepAway guards against tasks that fill beside tasks that serve, whichever
+// come first. The ledger judges HARM.
+func TestFillersKeepAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 3})
+		defer c.close()
+		filler := work.Demand{MemoryMB: 1000}
+		early := job(1, work.Step{Tasks: 3, Demand: filler, EstimateMS: 60_000, Fills: true, MaxPerWorker: 1, SavesProgress: true})
+		c.submit("batch", early, standin.Behaviour{Work: 60 * time.Second})
+		time.Sleep(time.Second)
+		serving := job(2, work.Step{Tasks: 2, Demand: large, LongRunning: true, Serves: true, MaxPerWorker: 1})
+		c.submit("normal", serving, standin.Behaviour{})
+		time.Sleep(3 * time.Second)
+		if n := len(c.runsOf(serving)); n != 2 {
+			t.Errorf("%d of 2 serving tasks run beside early fillers", n)
+		}
+		if n := len(c.runsOf(early)); n != 1 {
+			t.Errorf("%d fillers run, and one worker is free of serving tasks", n)
+		}
+	})
+}
--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -19,6 +19,8 @@
 	// StepTasks counts the tasks of each step that are on the worker, for steps with a
 	// bound.
 	StepTasks map[StepKey]int
+	// Serving and Fillers count tasks that are not put on the same worker.
+	Serving, Fillers int
 }
 
 // StepKey identifies a step of a job.
@@ -45,6 +47,9 @@
 	if a.Step.Rack != "" && !a.AnyRack && n.Rack != a.Step.Rack {
 		return 0
 	}
+	if (a.Step.Fills && n.Serving > 0) || (a.Step.Serves && n.Fillers > 0) {
+		return 0
+	}
 	d := a.Step.Demand
 	count := a.Tasks
 	count = bounded(count, d.CPU, room.CPU)
@@ -66,6 +71,12 @@
 // take puts one task of the ask on the worker.
 func (a *Ask) take(n *Node) {
 	n.Free = n.Free.Minus(a.Step.Demand)
+	if a.Step.Serves {
+		n.Serving++
+	}
+	if a.Step.Fills {
+		n.Fillers++
+	}
 	if a.Step.MaxPerWorker > 0 {
 		if n.StepTasks == nil {
 			n.StepTasks = map[StepKey]int{}
--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -107,13 +107,14 @@
 	return all
 }
 
-// Waiting counts the accepted jobs of a queue of which no task has been started.
+// Waiting counts the accepted jobs of a queue, without those that have times, of which no
+// task has been started.
 func (j *Jobs) Waiting(queue string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	n := 0
 	for _, e := range j.entries {
-		if e.Job != nil && e.Job.Queue == queue && !e.Started && !e.Status.Ended() && !e.Cancelled {
+		if e.Job != nil && e.Job.Queue == queue && e.Job.Repeats == 0 && !e.Started && !e.Status.Ended() && !e.Cancelled {
 			n++
 		}
 	}
--- a/internal/engine/scheduler/drain.go
+++ b/internal/engine/scheduler/drain.go
@@ -13,6 +13,8 @@
 	// must exceed that of its worker before it is given up: estimates are off by a half.
 	measuredMargin  = 1.2
 	estimatedMargin = 2.0
+	// forever is how long a task works that runs until its job is cancelled.
+	forever = 24 * time.Hour
 )
 
 // drains notes how long a draining worker stays at least.
@@ -67,6 +69,9 @@
 
 // left is how long a run still works by its speed, or by its estimate before it has one.
 func (r *run) left(now time.Duration) time.Duration {
+	if r.step().LongRunning {
+		return forever
+	}
 	if r.pace.last <= 0 {
 		return max(time.Duration(r.step().EstimateMS)*time.Millisecond-(now-r.startedAt), 0)
 	}
--- a/internal/engine/scheduler/ends.go
+++ b/internal/engine/scheduler/ends.go
@@ -31,6 +31,8 @@
 	}
 	t.touch(r.job)
 	switch {
+	case r.step().LongRunning:
+		task.Phase = work.Waiting // it is started again however it ended
 	case how == workers.EndedDone && r.step().Gang:
 		t.gangDone(r)
 	case how == workers.EndedDone:
@@ -77,7 +79,7 @@
 // stopGang stops the members of the run's gang.
 func (t *term) stopGang(r *run) {
 	for other := range r.job.runs {
-		if other.name.Task.Step == r.name.Task.Step && other.name.Run == r.name.Run {
+		if other.together(r) {
 			t.askStop(other)
 		}
 	}
--- a/internal/engine/scheduler/evict.go
+++ b/internal/engine/scheduler/evict.go
@@ -32,6 +32,11 @@
 	runs := t.evictable(q)
 	victims, units := t.victims(s, runs, now)
 	eviction := s.Preempt(ask, victims)
+	// Tasks that need not start together get room for as many as there are victims for.
+	for part := *ask; eviction == nil && !part.Step.Gang && part.Tasks > 1; {
+		part.Tasks /= 2
+		eviction = s.Preempt(&part, victims)
+	}
 	if eviction == nil {
 		return false
 	}
@@ -83,11 +88,12 @@
 		if j.Service != q.job.Service || !yields {
 			continue
 		}
+		spare := map[int]int{} // long-running tasks that may be stopped, by step
 		for r := range j.runs {
-			if r.stopping {
+			if r.stopping || (r.step().MayMiss > 0 && !t.maySpare(r, spare)) {
 				continue
 			}
-			u := unit{job: j, step: r.name.Task.Step, index: r.name.Task.Index}
+			u := unit{job: j, step: j.StepOf(r.name.Task), index: r.name.Task.Index}
 			if r.step().Gang {
 				u.index = -1
 			}
@@ -97,6 +103,49 @@
 	return out
 }
 
+// maySpare tells whether one more task of a long-running step may be away, and counts it
+// in spare.
+func (t *term) maySpare(r *run, spare map[int]int) bool {
+	step := r.job.StepOf(r.name.Task)
+	if _, counted := spare[step]; !counted {
+		spare[step] = r.step().MayMiss - r.job.away(step)
+	}
+	spare[step]--
+	return spare[step] >= 0
+}
+
+// away counts the tasks of a long-running step that are not at work.
+func (j *job) away(step int) int {
+	away := len(j.state.Steps[step].Tasks)
+	for r := range j.runs {
+		if j.StepOf(r.name.Task) == step && r.phase == runStarted && !r.stopping && r.percent >= complete {
+			away--
+		}
+	}
+	return away
+}
+
+// clearFillers stops the fillers on as many workers as a step of serving tasks needs: the
+// two are kept apart, so that no filler can push a serving task over its target.
+func (t *term) clearFillers(s *plan.Snapshot, ask *plan.Ask) {
+	left := ask.Tasks
+	for _, n := range s.Nodes {
+		if left <= 0 {
+			return
+		}
+		if n.Fillers == 0 || !ask.Step.Demand.Fits(n.Free) {
+			continue
+		}
+		left--
+		for _, r := range t.workers[n.Key].sortedRuns() {
+			if r.job != nil && r.step().Fills && !r.stopping {
+				t.log.Info("a filler is stopped for a task that serves", zap.Stringer("run", r.name), zap.String("job", ask.Key.Job))
+				t.askStop(r)
+			}
+		}
+	}
+}
+
 // victims puts a price on each unit.
 func (t *term) victims(s *plan.Snapshot, runs map[unit][]*run, now time.Duration) ([]plan.Victim, []unit) {
 	nodes := make(map[string]*plan.Node, len(s.Nodes))
@@ -134,6 +183,10 @@
 	return 1
 }
 
+// servingLoss stands for the work of a long-running task that is stopped: its users miss
+// it until it is at work again, so other work gives way first.
+const servingLoss = 30 * time.Second
+
 // restartCost is added to the work that a stop loses: stopping and starting again.
 const restartCost = 500 * time.Millisecond
 
@@ -149,6 +202,9 @@
 	if since > 0 && !r.step().SavesProgress {
 		lost += now - since
 	}
+	if r.step().LongRunning {
+		lost = servingLoss
+	}
 	cores := float64(r.demand.CPU)/milli + acceleratorCores*float64(r.demand.Accelerators)
 	return cores * float64(lost.Milliseconds()) * priorityLoss(r.job.Priority)
 }
--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -181,7 +181,8 @@
 // sortedRuns are the worker's runs in a stable order.
 func (w *worker) sortedRuns() []*run {
 	return slices.SortedFunc(maps.Values(w.runs), func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.name.Task.Job, b.name.Task.Job), cmp.Compare(a.name.Task.Step, b.name.Task.Step),
+		return cmp.Or(cmp.Compare(a.name.Task.Job, b.name.Task.Job), cmp.Compare(a.name.Task.Occurrence, b.name.Task.Occurrence),
+			cmp.Compare(a.name.Task.Step, b.name.Task.Step),
 			cmp.Compare(a.name.Task.Index, b.name.Task.Index), cmp.Compare(a.name.Run, b.name.Run))
 	})
 }
@@ -361,7 +362,7 @@
 // demandOf is the room that a task takes, if its job is known.
 func (t *term) demandOf(n work.TaskName) work.Demand {
 	j := t.jobs[n.Job]
-	if j == nil || n.Step >= len(j.Steps) {
+	if j == nil || !j.Has(n) {
 		return work.Demand{}
 	}
 	return j.Steps[n.Step].Demand
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -42,7 +42,7 @@
 	if len(queue) == 0 {
 		return
 	}
-	t.wake = now + replanAfter
+	t.wake = min(t.wake, now+replanAfter)
 	snapshots := t.snapshots(now)
 	for _, q := range queue {
 		if s := snapshots[q.job.Service]; s != nil {
@@ -85,12 +85,17 @@
 // readySteps are the steps that may be placed, first come first.
 func (t *term) readySteps(now time.Duration) []ready {
 	var queue []ready
+	wall := t.Wall().UnixMilli()
 	over := t.overGuarantee()
 	for _, j := range t.jobs {
 		if !j.active() {
 			continue
 		}
-		for s := range j.Steps {
+		for s := range j.state.Steps {
+			if due := j.Due(s); due > wall {
+				t.wake = min(t.wake, now+time.Duration(due-wall)*time.Millisecond)
+				continue
+			}
 			if !j.state.StepReady(j.Job, s) {
 				continue
 			}
@@ -102,20 +107,21 @@
 			}
 		}
 	}
-	wall := t.Wall().UnixMilli()
 	slices.SortFunc(queue, func(a, b ready) int { return compareReady(a, b, wall) })
 	return queue
 }
 
-// compareReady orders by priority, then guaranteed work, then jobs that are not late yet,
-// then deadline.
+// compareReady orders by priority, then guaranteed work, then tasks that serve as long as
+// they run, then jobs that are not late yet, then deadline.
 func compareReady(a, b ready, wall int64) int {
-	late := func(r ready) int { return rank(r.job.Deadline() < wall) }
+	late := func(r ready) int { return rank(r.job.Deadline(r.step) < wall) }
+	lasts := func(r ready) bool { return r.job.StepAt(r.step).LongRunning }
 	return cmp.Or(
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		cmp.Compare(rank(!a.guaranteed), rank(!b.guaranteed)),
+		cmp.Compare(rank(!lasts(a)), rank(!lasts(b))),
 		cmp.Compare(late(a), late(b)),
-		cmp.Compare(a.job.Deadline(), b.job.Deadline()),
+		cmp.Compare(a.job.Deadline(a.step), b.job.Deadline(b.step)),
 		cmp.Compare(a.job.ID, b.job.ID),
 		cmp.Compare(a.step, b.step),
 	)
@@ -138,7 +144,7 @@
 			tasks = append(tasks, i)
 		}
 	}
-	if j.Steps[step].Gang && len(tasks) < len(states) {
+	if j.StepAt(step).Gang && len(tasks) < len(states) {
 		return nil
 	}
 	return tasks
@@ -146,11 +152,11 @@
 
 // ask is the step as the planner sees it.
 func (q ready) ask() *plan.Ask {
-	return &plan.Ask{Key: plan.StepKey{Job: q.job.ID, Step: q.step}, Step: &q.job.Steps[q.step], Tasks: len(q.tasks)}
+	return &plan.Ask{Key: plan.StepKey{Job: q.job.ID, Step: q.step}, Step: q.job.StepAt(q.step), Tasks: len(q.tasks)}
 }
 
 func (t *term) placeStep(s *plan.Snapshot, q ready, now time.Duration, reservations *int) {
-	step, ask := &q.job.Steps[q.step], q.ask()
+	step, ask := q.job.StepAt(q.step), q.ask()
 	s.Unclaim(ask, q.job.claimed(q.step, now))
 	if !s.CouldEver(ask) || (step.Rack != "" && now-q.job.waiting[q.step] > anyRackAfter) {
 		ask.AnyRack = true
@@ -173,7 +179,10 @@
 	}
 	rest := *ask
 	rest.Tasks = len(q.tasks) - len(nodes)
-	if q.job.Priority == 0 && t.evict(s, q, &rest, now) {
+	if step.Serves {
+		t.clearFillers(s, &rest)
+	}
+	if (q.job.Priority == 0 || step.LongRunning) && t.evict(s, q, &rest, now) {
 		return
 	}
 	if step.Gang && *reservations < maxReservations {
@@ -198,19 +207,19 @@
 func (t *term) assign(q ready, nodes []*plan.Node, now time.Duration) {
 	j, state := q.job, q.job.state
 	tasks := q.tasks[:len(nodes)]
-	gangRun := state.NextRun(q.step, q.tasks)
+	gangRun, step := state.NextRun(q.step, q.tasks), j.StepAt(q.step)
 	var runs []*run
 	for k, i := range tasks {
 		number := gangRun
-		if !j.Steps[q.step].Gang {
+		if !step.Gang {
 			number = state.NextRun(q.step, []int{i})
 		}
 		w := t.workers[nodes[k].Key]
 		task := &state.Steps[q.step].Tasks[i]
 		task.Phase, task.Run, task.Worker = work.Placed, number, w.key
 		r := &run{
-			name: work.RunName{Task: work.TaskName{Job: j.ID, Step: q.step, Index: i}, Run: number},
-			job:  j, worker: w, demand: j.Steps[q.step].Demand,
+			name: work.RunName{Task: j.Name(q.step, i), Run: number},
+			job:  j, worker: w, demand: step.Demand,
 		}
 		w.addRun(r)
 		runs = append(runs, r)
@@ -219,7 +228,6 @@
 		t.metrics.waitTime.Update(time.Duration(t.Wall().UnixMilli()-j.AcceptedMS) * time.Millisecond)
 	}
 	state.Started, state.Status = true, work.Running
-	step := &j.Steps[q.step]
 	t.log.Info("placed", zap.String("job", j.ID), zap.Int("step", q.step), zap.Int("tasks", len(tasks)),
 		zap.Int("cpu", step.Demand.CPU), zap.Int("accelerators", step.Demand.Accelerators),
 		zap.Bool("gang", step.Gang), zap.Bool("saves", step.SavesProgress),
--- a/internal/engine/scheduler/progress.go
+++ b/internal/engine/scheduler/progress.go
@@ -133,7 +133,7 @@
 func (t *term) members(r *run) []*run {
 	var out []*run
 	for other := range r.job.runs {
-		if other.name.Task.Step == r.name.Task.Step && other.name.Run == r.name.Run {
+		if other.together(r) {
 			out = append(out, other)
 		}
 	}
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -109,8 +109,14 @@
 	savedAt    time.Duration
 }
 
-func (r *run) step() *work.Step           { return &r.job.Steps[r.name.Task.Step] }
-func (r *run) stepState() *work.StepState { return &r.job.state.Steps[r.name.Task.Step] }
+func (r *run) step() *work.Step           { return r.job.StepAt(r.name.Task.Step) }
+func (r *run) stepState() *work.StepState { return &r.job.state.Steps[r.job.StepOf(r.name.Task)] }
+
+// together tells whether two runs are of one gang.
+func (r *run) together(o *run) bool {
+	a, b := r.name.Task, o.name.Task
+	return a.Occurrence == b.Occurrence && a.Step == b.Step && r.name.Run == o.name.Run
+}
 
 // task is the task's state while this run is its current one, or nil.
 func (r *run) task() *work.Task {
@@ -220,11 +226,17 @@
 		Total: w.entry.Capacity, Free: w.entry.Capacity.Minus(w.used),
 	}
 	for _, r := range w.runs {
+		if r.job != nil && r.step().Serves {
+			n.Serving++
+		}
+		if r.job != nil && r.step().Fills {
+			n.Fillers++
+		}
 		if r.job != nil && r.step().MaxPerWorker > 0 {
 			if n.StepTasks == nil {
 				n.StepTasks = map[plan.StepKey]int{}
 			}
-			n.StepTasks[plan.StepKey{Job: r.job.ID, Step: r.name.Task.Step}]++
+			n.StepTasks[plan.StepKey{Job: r.job.ID, Step: r.job.StepOf(r.name.Task)}]++
 		}
 	}
 	return n
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -132,8 +132,8 @@
 			if w == nil {
 				w = t.ghost(task.Worker)
 			}
-			name := work.RunName{Task: work.TaskName{Job: j.ID, Step: s, Index: i}, Run: task.Run}
-			w.addRun(&run{name: name, job: j, worker: w, demand: j.Steps[s].Demand, phase: runOpen, checkpoint: task.Checkpoint})
+			name := work.RunName{Task: j.Name(s, i), Run: task.Run}
+			w.addRun(&run{name: name, job: j, worker: w, demand: j.StepAt(s).Demand, phase: runOpen, checkpoint: task.Checkpoint})
 		}
 	}
 }
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -167,8 +167,8 @@
 			// Its submission came after the takeover, so nothing is recorded of it.
 			j = t.inheritJob(e, nil)
 			t.log.Info("job seen", zap.String("job", id), zap.Int("priority", j.Priority),
-				zap.Int("steps", len(j.Steps)), zap.Int("tasks", j.Steps[0].Tasks), zap.Int("chain_ms", j.ChainMS()),
-				zap.Int64("objective_ms", j.Deadline()-j.AcceptedMS), zap.Int64("age_ms", t.Wall().UnixMilli()-j.AcceptedMS))
+				zap.Int("steps", j.StepCount()), zap.Int("tasks", j.Steps[0].Tasks), zap.Int("chain_ms", j.ChainMS()),
+				zap.Int64("objective_ms", j.Deadline(0)-j.AcceptedMS), zap.Int64("age_ms", t.Wall().UnixMilli()-j.AcceptedMS))
 		}
 		if e.Cancelled {
 			t.cancel(j)
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -57,6 +57,17 @@
 	Rack string `json:"h,omitempty"`
 	// MaxPerWorker bounds the tasks of the step on one worker; 0 means no bound.
 	MaxPerWorker int `json:"p,omitempty"`
+	// LongRunning tasks run until the job is cancelled and are started again however they
+	// end.
+	LongRunning bool `json:"lr,omitempty"`
+	// MayMiss is how many tasks of a long-running step may be away at the same time
+	// because the system stopped them.
+	MayMiss int `json:"mm,omitempty"`
+	// Serves marks tasks that serve users of their own, whose response times must stay
+	// below a target.
+	Serves bool `json:"sv,omitempty"`
+	// Fills tasks take what the others leave unused; they slow tasks that serve down.
+	Fills bool `json:"fl,omitempty"`
 }
 
 // Job is what was accepted. It never changes.
@@ -71,7 +82,41 @@
 	ObjectiveMS  int     `json:"w"` // added to the stretched chain
 	AcceptedMS   int64   `json:"u"` // Unix milliseconds at the host that accepted it
 	Spec         string  `json:"s"`
-	Steps        []Step  `json:"st"`
+	// Steps are those of one occurrence.
+	Steps []Step `json:"st"`
+	// Repeats is how many occurrences the job has, or 0 for a job without times.
+	// Occurrence k is due at FirstMS + k * PeriodMS, in Unix milliseconds.
+	Repeats  int   `json:"n,omitempty"`
+	FirstMS  int64 `json:"fm,omitempty"`
+	PeriodMS int64 `json:"pm,omitempty"`
+}
+
+// StepCount is the number of steps over all occurrences. Steps are numbered through:
+// those of the first occurrence come first.
+func (j *Job) StepCount() int { return len(j.Steps) * max(j.Repeats, 1) }
+
+// StepAt returns a step by its number over all occurrences.
+func (j *Job) StepAt(step int) *Step { return &j.Steps[step%len(j.Steps)] }
+
+// Name returns the name of a task by its step's number over all occurrences.
+func (j *Job) Name(step, index int) TaskName {
+	return TaskName{Job: j.ID, Occurrence: step / len(j.Steps), Step: step % len(j.Steps), Index: index}
+}
+
+// StepOf returns the number of a task's step over all occurrences.
+func (j *Job) StepOf(n TaskName) int { return n.Occurrence*len(j.Steps) + n.Step }
+
+// Due is the Unix millisecond before which a step must not start; 0 if there is none.
+func (j *Job) Due(step int) int64 {
+	if j.Repeats == 0 {
+		return 0
+	}
+	return j.FirstMS + int64(step/len(j.Steps))*j.PeriodMS
+}
+
+// Has tells whether the job has the task.
+func (j *Job) Has(n TaskName) bool {
+	return n.Step < len(j.Steps) && n.Occurrence < max(j.Repeats, 1) && n.Index < j.Steps[n.Step].Tasks
 }
 
 // Check returns an error that names the first fault of a submitted job.
@@ -84,6 +129,9 @@
 		if s.Tasks < 1 {
 			return trace.BadParameter("step %d has no tasks", i)
 		}
+		if s.LongRunning && j.Repeats > 0 {
+			return trace.BadParameter("step %d of a repeated job is long-running", i)
+		}
 		if d := s.Demand; d.CPU < 0 || d.MemoryMB < 0 || d.Accelerators < 0 {
 			return trace.BadParameter("step %d has a negative demand", i)
 		}
@@ -94,7 +142,10 @@
 		}
 		tasks += s.Tasks
 	}
-	if tasks > MaxTasks {
+	if j.Repeats < 0 || j.PeriodMS < 0 || j.FirstMS < 0 {
+		return trace.BadParameter("the job has a negative number of repetitions, or negative times")
+	}
+	if tasks *= max(j.Repeats, 1); tasks > MaxTasks {
 		return trace.BadParameter("the job has %d tasks, more than %d", tasks, MaxTasks)
 	}
 	return nil
@@ -115,9 +166,9 @@
 	return longest
 }
 
-// Deadline is the Unix millisecond by which the job should be complete.
-func (j *Job) Deadline() int64 {
-	return j.AcceptedMS + int64(j.Stretch*float64(j.ChainMS())) + int64(j.ObjectiveMS)
+// Deadline is the Unix millisecond by which the occurrence of a step should be complete.
+func (j *Job) Deadline(step int) int64 {
+	return max(j.AcceptedMS, j.Due(step)) + int64(j.Stretch*float64(j.ChainMS())) + int64(j.ObjectiveMS)
 }
 
 // DecodeJob reads a job from its record.
--- a/internal/engine/work/name.go
+++ b/internal/engine/work/name.go
@@ -9,28 +9,34 @@
 
 // TaskName identifies a task in the whole deployment.
 type TaskName struct {
-	Job   string
+	Job string
+	// Occurrence is which time of a repeated job the task belongs to; 0 otherwise.
+	Occurrence int
+	// Step is the number of the step within the occurrence.
 	Step  int
 	Index int
 }
 
 // String returns ID.OCCURRENCE.STEP.INDEX; jobs without occurrences use 0.
 func (n TaskName) String() string {
-	return n.Job + ".0." + strconv.Itoa(n.Step) + "." + strconv.Itoa(n.Index)
+	return n.Job + "." + strconv.Itoa(n.Occurrence) + "." + strconv.Itoa(n.Step) + "." + strconv.Itoa(n.Index)
 }
 
 // ParseTaskName reads what String returns.
 func ParseTaskName(s string) (TaskName, error) {
 	parts := strings.Split(s, ".")
-	if len(parts) != 4 || parts[1] != "0" {
+	if len(parts) != 4 {
 		return TaskName{}, trace.BadParameter("%q is not a task name", s)
 	}
-	step, err1 := strconv.Atoi(parts[2])
-	index, err2 := strconv.Atoi(parts[3])
-	if err1 != nil || err2 != nil || step < 0 || index < 0 {
-		return TaskName{}, trace.BadParameter("%q is not a task name", s)
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskName{}, trace.BadParameter("%q is not a task name", s)
+		}
+		numbers[i] = n
 	}
-	return TaskName{Job: parts[0], Step: step, Index: index}, nil
+	return TaskName{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
 
 // RunName identifies one run of a task.
--- a/internal/engine/work/state.go
+++ b/internal/engine/work/state.go
@@ -61,9 +61,9 @@
 
 // NewState returns the state of a job that waits.
 func NewState(j *Job) *State {
-	s := &State{Status: Queued, Steps: make([]StepState, len(j.Steps))}
-	for i := range j.Steps {
-		s.Steps[i].Tasks = make([]Task, j.Steps[i].Tasks)
+	s := &State{Status: Queued, Steps: make([]StepState, j.StepCount())}
+	for i := range s.Steps {
+		s.Steps[i].Tasks = make([]Task, j.StepAt(i).Tasks)
 	}
 	return s
 }
@@ -129,12 +129,12 @@
 	if status.Ended() {
 		return s, nil
 	}
-	if len(s.Steps) != len(j.Steps) {
-		return nil, trace.BadParameter("state of job %s has %d steps, the job %d", j.ID, len(s.Steps), len(j.Steps))
+	if len(s.Steps) != j.StepCount() {
+		return nil, trace.BadParameter("state of job %s has %d steps, the job %d", j.ID, len(s.Steps), j.StepCount())
 	}
 	for i := range s.Steps {
-		if len(s.Steps[i].Tasks) != j.Steps[i].Tasks {
-			return nil, trace.BadParameter("state of job %s: step %d has %d tasks, the job %d", j.ID, i, len(s.Steps[i].Tasks), j.Steps[i].Tasks)
+		if len(s.Steps[i].Tasks) != j.StepAt(i).Tasks {
+			return nil, trace.BadParameter("state of job %s: step %d has %d tasks, the job %d", j.ID, i, len(s.Steps[i].Tasks), j.StepAt(i).Tasks)
 		}
 	}
 	return s, nil
@@ -150,10 +150,11 @@
 	return true
 }
 
-// StepReady tells whether the steps that come before are done.
+// StepReady tells whether the steps of the occurrence that come before are done.
 func (s *State) StepReady(j *Job, step int) bool {
-	for _, a := range j.Steps[step].After {
-		if !s.StepDone(a) {
+	first := step - step%len(j.Steps)
+	for _, a := range j.StepAt(step).After {
+		if !s.StepDone(first + a) {
 			return false
 		}
 	}
