Ask the advice service where a queue needs it

Change: a step of such a job is placed only on workers with a valid ticket for it. A start carries the ticket; one whose ticket is over is not sent, and a refusal for the ticket asks again. Without an address of the service in the settings such jobs are refused as before.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -43,6 +43,7 @@
 	log     *zap.Logger
 	version int64
 	shares  map[string]float64 // of a core, by host; 0 where it does not matter
+	advisor *standin.Advisor
 	cancel  context.CancelFunc
 	ctx     context.Context
 }
@@ -73,6 +74,7 @@
 		LeaseMax: leaseMax, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SaveEvery: 2 * time.Second, Restore: 250 * time.Millisecond, Heartbeat: heartbeat, FarFactor: 3, Seed: o.seed,
 	}, s)
+	c.advisor = c.fleet.Advisor()
 	for i := range o.workers {
 		c.workers = append(c.workers, c.fleet.Add(entry(i)))
 	}
@@ -98,6 +100,7 @@
 		Queues: []manifest.Queue{
 			{Name: "urgent", Host: "h", PathPrefix: "/urgent/", Service: "scores", Priority: 0, MaxAttempts: 3, Stretch: 1.5, ObjectiveMS: 250},
 			{Name: "normal", Host: "h", PathPrefix: "/normal/", Service: "scores", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000},
+			{Name: "advised", Host: "h", PathPrefix: "/advised/", Service: "scores", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000, NeedsAdvice: true},
 			{Name: "batch", Host: "h", PathPrefix: "/batch/", Service: "scores", Priority: 2, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 3000},
 		},
 		Organisations: []manifest.Organisation{
@@ -136,7 +139,7 @@
 func (c *cluster) addHost(name string) *testHost {
 	ctx, cancel := context.WithCancel(c.ctx)
 	e := engine.New(engine.Options{
-		Host: name, CPUShare: c.shares[name], Store: c.store.Client(name), Workers: c.fleet.Client(name),
+		Host: name, CPUShare: c.shares[name], Store: c.store.Client(name), Workers: c.fleet.Client(name), Advisor: c.advisor,
 		OperatorTopic: operatorTopic, WorkerTopic: standin.TopicWorkers,
 		DecodeOperator: decodeOperator, DecodeWorker: standin.DecodeWorker,
 		Bounds: scheduler.Bounds{
@@ -214,8 +217,8 @@
 }
 
 // job makes a job of one step.
-func job(id int, step work.Step) work.Job {
-	return work.Job{ID: fmt.Sprintf("%016x", id), Spec: fmt.Sprintf("spec %d", id), Steps: []work.Step{step}}
+func job(id int, steps ...work.Step) work.Job {
+	return work.Job{ID: fmt.Sprintf("%016x", id), Spec: fmt.Sprintf("spec %d", id), Steps: steps}
 }
 
 // submit hands a job in at a host, and repeats it while the outcome is open.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,6 +52,8 @@
 	CPUShare float64
 	Store    store.Store
 	Workers  workers.Client
+	// Advisor is nil where the platform has no advice service.
+	Advisor workers.Advisor
 	// OperatorTopic and WorkerTopic are the platform's.
 	OperatorTopic, WorkerTopic string
 	DecodeOperator             replica.DecodeOperator
@@ -112,13 +114,13 @@
 		TTL: max(tenureTTL, o.MemberTTLMin), Owner: e.Jobs.Owner, Proof: statuses.Proof, Now: o.Now, Logger: part("tenure"),
 	})
 	e.scheduler = scheduler.New(scheduler.Options{
-		Store: o.Store, Workers: o.Workers, WorkerTopic: o.WorkerTopic, Decode: o.DecodeWorker,
+		Store: o.Store, Workers: o.Workers, Advisor: o.Advisor, WorkerTopic: o.WorkerTopic, Decode: o.DecodeWorker,
 		Tenure: e.tenure, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses, Operator: e.Operator,
 		Bounds: o.Bounds, Now: o.Now, Wall: o.Wall, Metrics: o.Metrics, Logger: part("scheduler"),
 	})
 	e.Intake = intake.New(intake.Options{
 		Store: o.Store, Operator: e.Operator, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses,
-		RevokeBound: o.RevokeBound, Now: o.Wall, Metrics: o.Metrics, Logger: part("intake"),
+		RevokeBound: o.RevokeBound, Advises: o.Advisor != nil, Now: o.Wall, Metrics: o.Metrics, Logger: part("intake"),
 	})
 	return e
 }
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/daisyfold/daisyfold/internal/engine"
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/scheduler"
+	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/logging"
 	"github.com/daisyfold/daisyfold/internal/metrics"
 	"github.com/daisyfold/daisyfold/platform"
@@ -60,7 +61,7 @@
 	metrics.Counter(h.registry, "log.dropped", dropped)
 	h.registerProofs()
 	h.engine = engine.New(engine.Options{
-		Host: s.Host, CPUShare: s.CPUShare, Store: platform.NewStore(s.Store), Workers: platform.NewWorkers(),
+		Host: s.Host, CPUShare: s.CPUShare, Store: platform.NewStore(s.Store), Workers: platform.NewWorkers(), Advisor: advisor(s),
 		OperatorTopic: platform.TopicOperator, WorkerTopic: platform.TopicWorkers,
 		DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker,
 		Bounds:      bounds(s),
@@ -82,6 +83,14 @@
 	metrics.Gauge(h.registry, "scheduler.owner", func() int64 { return metrics.Flag(h.engine.Owns()) })
 }
 
+// advisor is the client of the advice service, or nil if the platform has none.
+func advisor(s *platform.Settings) workers.Advisor {
+	if !s.Advice.IsValid() {
+		return nil
+	}
+	return platform.NewAdvisor(s.Advice)
+}
+
 func bounds(s *platform.Settings) scheduler.Bounds {
 	return scheduler.Bounds{
 		LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, StatusKeep: s.StatusKeep, WorkerHeartbeat: s.WorkerHeartbeat,
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -89,6 +89,8 @@
 	Statuses    *replica.Follower
 	// RevokeBound is by when a revoked key must be refused.
 	RevokeBound time.Duration
+	// Advises tells whether there is an advice service.
+	Advises bool
 	// Now reads the wall clock, for the time of acceptance.
 	Now     func() time.Time
 	Metrics gometrics.Registry
@@ -160,8 +162,8 @@
 	if refused != nil {
 		return *refused
 	}
-	if queue.NeedsAdvice {
-		return Answer{Outcome: BadJob, Why: "queues with advice are not supported"}
+	if queue.NeedsAdvice && !s.Advises {
+		return Answer{Outcome: BadJob, Why: "the queue needs advice, and the settings name no advice service"}
 	}
 	if err := job.Check(); err != nil {
 		return Answer{Outcome: BadJob, Why: err.Error()}
@@ -172,6 +174,7 @@
 	job.Queue, job.Service, job.Organisation = queue.ID(), queue.Service, organisation
 	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
+	job.Advised = queue.NeedsAdvice
 	job.AcceptedMS = s.Now().UnixMilli()
 	return s.write(ctx, c, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
 }
--- a/internal/engine/kinds_test.go
+++ b/internal/engine/kinds_test.go
@@ -113,3 +113,25 @@
 		}
 	})
 }
+
+// TestAdvice guards against tasks on workers that the advice service did not name, against
+// starts with a ticket that is over, and against a step that is asked about again and again.
+func TestAdvice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 8})
+		defer c.close()
+		const jobs = 6 // of 2 whole workers each; 4 workers are allowed
+		for id := 1; id <= jobs; id++ {
+			j := job(id, work.Step{Tasks: 2, Demand: large, EstimateMS: 1500, Gang: true})
+			j.Advised = true // known to the workers; the queue says so to the product
+			c.submit("advised", j, standin.Behaviour{Work: 1500 * time.Millisecond})
+		}
+		c.workers[2].Restart() // tickets for its former life are over
+		for id := 1; id <= jobs; id++ {
+			c.await(job(id).ID, work.Completed, 15*time.Second)
+		}
+		if n := c.advisor.Calls; n > 6*jobs {
+			t.Errorf("%d calls for %d steps", n, jobs)
+		}
+	})
+}
--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -37,6 +37,8 @@
 	// AnyRack allows workers away from the data, and gangs over several racks, although
 	// they are slower there.
 	AnyRack bool
+	// Allowed names the workers that may get tasks; nil means all.
+	Allowed map[string]bool
 }
 
 // slots is how many tasks of the ask fit on the worker with the given room.
@@ -47,6 +49,9 @@
 	if a.Step.Rack != "" && !a.AnyRack && n.Rack != a.Step.Rack {
 		return 0
 	}
+	if a.Allowed != nil && !a.Allowed[n.Key] {
+		return 0
+	}
 	if (a.Step.Fills && n.Serving > 0) || (a.Step.Serves && n.Fillers > 0) {
 		return 0
 	}
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -38,10 +38,19 @@
 		t.over(r, workers.EndedStopped, "")
 		return
 	}
+	var pass string
+	if r.job.Advised {
+		var ok bool
+		if pass, ok = t.ticketFor(r, now); !ok {
+			t.log.Info("a planned run is not started: its ticket is over", zap.Stringer("run", r.name), zap.String("worker", r.worker.key))
+			t.over(r, workers.EndedStopped, "")
+			return
+		}
+	}
 	r.phase = runSent
 	order := workers.StartOrder{
 		Run: r.name, Spec: r.job.Spec, Checkpoint: t.startingPoint(r),
-		LeaseUntilMS: t.lease(r.worker, now), Fence: t.epoch,
+		LeaseUntilMS: t.lease(r.worker, now), Fence: t.epoch, Ticket: pass,
 	}
 	ref := r.worker.ref()
 	t.metrics.starts.Inc(1)
@@ -134,6 +143,9 @@
 	case workers.OtherLife:
 		t.bury(w)
 		return
+	case workers.NoTicket:
+		delete(r.job.advise(r.job.StepOf(r.name.Task)).tickets, w.entry.ID)
+		delete(r.job.advise(r.job.StepOf(r.name.Task)).asked, w.entry.ID)
 	case workers.Unhealthy, workers.NotSent, workers.NoRoom:
 		w.failures++
 		t.rest(w, why.String())
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -161,6 +161,9 @@
 	if !s.CouldEver(ask) || (step.Rack != "" && now-q.job.waiting[q.step] > anyRackAfter) {
 		ask.AnyRack = true
 	}
+	if q.job.Advised {
+		ask.Allowed = t.ticketed(q.job, q.step, now)
+	}
 	avoid := t.avoided(q.job, now)
 	s.Avoid(avoid)
 	nodes := s.Place(ask)
@@ -177,6 +180,9 @@
 		delete(q.job.claims, q.step)
 		return
 	}
+	if q.job.Advised {
+		t.askAdvice(s, q, now)
+	}
 	rest := *ask
 	rest.Tasks = len(q.tasks) - len(nodes)
 	if step.Serves {
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -36,8 +36,10 @@
 
 // Options of a scheduler.
 type Options struct {
-	Store       store.Store
-	Workers     workers.Client
+	Store   store.Store
+	Workers workers.Client
+	// Advisor is nil where the platform has no advice service.
+	Advisor     workers.Advisor
 	WorkerTopic string
 	Decode      DecodeWorker
 	Tenure      *tenure.Tenure
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -19,6 +19,8 @@
 	shown    string
 	// runs are those of the job that are not known to be over.
 	runs map[*run]bool
+	// advice is what the advice service has said, by step.
+	advice map[int]*advice
 	// claims hold the room that stops are freeing for a step, by step.
 	claims map[int]claim
 	// avoid are workers on which runs of the job have failed: the next attempt goes to
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -53,6 +53,10 @@
 	// straysAt is when cancellations without a job were last looked for.
 	straysAt time.Duration
 	replan   bool
+	// advising is set while a call to the advice service is on its way; the next one may
+	// be sent at adviceAt.
+	advising bool
+	adviceAt time.Duration
 	// wake is when to plan again although nothing happened.
 	wake time.Duration
 	recorder
@@ -178,7 +182,7 @@
 }
 
 func (t *term) addJob(w *work.Job, state *work.State) *job {
-	j := &job{Job: w, state: state, runs: map[*run]bool{}, avoid: map[string]bool{}, moves: map[work.TaskName]int{}, waiting: map[int]time.Duration{}, claims: map[int]claim{}}
+	j := &job{Job: w, state: state, runs: map[*run]bool{}, avoid: map[string]bool{}, moves: map[work.TaskName]int{}, waiting: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
 	t.jobs[w.ID] = j
 	return j
 }
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -82,6 +82,8 @@
 	ObjectiveMS  int     `json:"w"` // added to the stretched chain
 	AcceptedMS   int64   `json:"u"` // Unix milliseconds at the host that accepted it
 	Spec         string  `json:"s"`
+	// Advised jobs run only on workers that the advice service names for each step.
+	Advised bool `json:"ad,omitempty"`
 	// Steps are those of one occurrence.
 	Steps []Step `json:"st"`
 	// Repeats is how many occurrences the job has, or 0 for a job without times.
--- a/internal/engine/work/name.go
+++ b/internal/engine/work/name.go
@@ -22,6 +22,11 @@
 	return n.Job + "." + strconv.Itoa(n.Occurrence) + "." + strconv.Itoa(n.Step) + "." + strconv.Itoa(n.Index)
 }
 
+// StepName returns ID.OCCURRENCE.STEP of a task.
+func StepName(n TaskName) string {
+	return n.Job + "." + strconv.Itoa(n.Occurrence) + "." + strconv.Itoa(n.Step)
+}
+
 // ParseTaskName reads what String returns.
 func ParseTaskName(s string) (TaskName, error) {
 	parts := strings.Split(s, ".")
--- a/internal/engine/workers/workers.go
+++ b/internal/engine/workers/workers.go
@@ -80,6 +80,8 @@
 	Checkpoint   string
 	LeaseUntilMS int64 // on the worker's clock
 	Fence        int64
+	// Ticket is the advice service's, for jobs that need one.
+	Ticket string
 }
 
 // LookOrder extends the lease of everything on the worker and asks what runs there.
@@ -144,6 +146,18 @@
 	ErrOtherLife = &trace.NotFoundError{Message: "another life of the worker answers at the address"}
 )
 
+// Advice names the workers, of those asked about, that may run a step.
+type Advice struct {
+	Tickets map[string]string // by worker id
+	Valid   time.Duration     // of the tickets
+}
+
+// Advisor asks the platform's advice service which workers may run a step. An error means
+// that there is no answer; asking again is harmless.
+type Advisor interface {
+	Advise(ctx context.Context, step string, workers []string) (Advice, error)
+}
+
 // Client calls workers. An error of Start or Stop means that the order may have been
 // carried out, or may be later.
 type Client interface {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -99,6 +99,8 @@
 		return answer(workers.Accepted)
 	case o.Run.Run <= w.floor[o.Run.Task] || there != nil:
 		return answer(workers.RunTooOld)
+	case job.Advised && !w.fleet.hasTicket(w, o):
+		return answer(workers.NoTicket)
 	case o.LeaseUntilMS < w.clock():
 		return answer(workers.LeaseOver)
 	}
