Carry out waves of upkeep

Change: the scheduler looks at the machines twice a second while a wave is not completed. It empties as many as may be down at once, those with least in use first: they get nothing new, and after half of a machine's turn what runs there is stopped, serving tasks only as far as they may be away. Orders carry the owner and its epoch as fence, wait for the time of a former holder to be over, and are repeated if they get no answer; the platform answers a repeated one as done, so a successor simply gives all of them again. The wave's status is written with the owner's epoch. The clients of advice and machines are used only where the settings name their addresses.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,8 @@
 
 const (
 	operatorTopic  = "keyed.op"
+	statusTopic    = "keyed.status"
+	waveCap        = 2 // machines that a wave may take down at once
 	leaseMax       = 6 * time.Second
 	heartbeat      = 1500 * time.Millisecond
 	settle         = 5 * time.Second // for hosts to elect a scheduler and read everything
@@ -33,19 +36,20 @@
 
 // cluster is a deployment in virtual time.
 type cluster struct {
-	t       *testing.T
-	store   *standin.Store
-	fleet   *standin.Fleet
-	workers []*standin.Worker
-	mu      sync.Mutex // guards hosts
-	hosts   map[string]*testHost
-	start   time.Time
-	log     *zap.Logger
-	version int64
-	shares  map[string]float64 // of a core, by host; 0 where it does not matter
-	advisor *standin.Advisor
-	cancel  context.CancelFunc
-	ctx     context.Context
+	t        *testing.T
+	store    *standin.Store
+	fleet    *standin.Fleet
+	workers  []*standin.Worker
+	mu       sync.Mutex // guards hosts
+	hosts    map[string]*testHost
+	start    time.Time
+	log      *zap.Logger
+	version  int64
+	shares   map[string]float64 // of a core, by host; 0 where it does not matter
+	advisor  *standin.Advisor
+	machines *standin.Machines
+	cancel   context.CancelFunc
+	ctx      context.Context
 }
 
 type testHost struct {
@@ -74,7 +78,7 @@
 		LeaseMax: leaseMax, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SaveEvery: 2 * time.Second, Restore: 250 * time.Millisecond, Heartbeat: heartbeat, FarFactor: 3, Seed: o.seed,
 	}, s)
-	c.advisor = c.fleet.Advisor()
+	c.advisor, c.machines = c.fleet.Advisor(), c.fleet.Machines(waveCap)
 	for i := range o.workers {
 		c.workers = append(c.workers, c.fleet.Add(entry(i)))
 	}
@@ -125,6 +129,13 @@
 	if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
 		return replica.OperatorChange{Zone: zone, Out: len(r.Value) > 0}, nil
 	}
+	if strings.HasPrefix(r.Key, "wave/") {
+		w := &replica.Wave{}
+		if err := json.Unmarshal(r.Value, w); err != nil {
+			return replica.OperatorChange{}, err
+		}
+		return replica.OperatorChange{WaveKey: r.Key, Wave: w}, nil
+	}
 	m := &manifest.Manifest{}
 	if err := json.Unmarshal(r.Value, m); err != nil {
 		return replica.OperatorChange{}, err
@@ -133,18 +144,22 @@
 	return replica.OperatorChange{Manifest: m}, nil
 }
 
+func waveStatus(w replica.Wave, completed bool) store.Record {
+	return store.Record{Key: fmt.Sprintf("wave/%d", w.Number), Value: []byte(strconv.FormatBool(completed))}
+}
+
 // clock is the boot-time clock of virtual hosts.
 func (c *cluster) clock() time.Duration { return time.Since(c.start) + time.Hour }
 
 func (c *cluster) addHost(name string) *testHost {
 	ctx, cancel := context.WithCancel(c.ctx)
 	e := engine.New(engine.Options{
-		Host: name, CPUShare: c.shares[name], Store: c.store.Client(name), Workers: c.fleet.Client(name), Advisor: c.advisor,
+		Host: name, CPUShare: c.shares[name], Store: c.store.Client(name), Workers: c.fleet.Client(name), Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, WaveStatus: waveStatus,
 		OperatorTopic: operatorTopic, WorkerTopic: standin.TopicWorkers,
 		DecodeOperator: decodeOperator, DecodeWorker: standin.DecodeWorker,
 		Bounds: scheduler.Bounds{
 			LeaseMax: leaseMax, StopTimeout: 900 * time.Millisecond, StatusKeep: 2 * time.Minute,
-			WorkerHeartbeat: heartbeat,
+			WorkerHeartbeat: heartbeat, HolderLease: 3 * time.Second, Upkeep: 2 * time.Second,
 		},
 		RevokeBound: 5 * time.Second, MemberTTLMin: time.Second, Now: c.clock, Wall: time.Now,
 		Metrics: gometrics.NewRegistry(), Logger: c.log.With(zap.String("host", name)),
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -54,6 +54,11 @@
 	Workers  workers.Client
 	// Advisor is nil where the platform has no advice service.
 	Advisor workers.Advisor
+	// Machines is nil where the platform has no interface to its machines.
+	Machines workers.Machines
+	// StatusTopic and WaveStatus are the platform's, for what the operator reads.
+	StatusTopic string
+	WaveStatus  func(wave replica.Wave, completed bool) store.Record
 	// OperatorTopic and WorkerTopic are the platform's.
 	OperatorTopic, WorkerTopic string
 	DecodeOperator             replica.DecodeOperator
@@ -114,7 +119,8 @@
 		TTL: max(tenureTTL, o.MemberTTLMin), Owner: e.Jobs.Owner, Proof: statuses.Proof, Now: o.Now, Logger: part("tenure"),
 	})
 	e.scheduler = scheduler.New(scheduler.Options{
-		Store: o.Store, Workers: o.Workers, Advisor: o.Advisor, WorkerTopic: o.WorkerTopic, Decode: o.DecodeWorker,
+		Store: o.Store, Workers: o.Workers, Advisor: o.Advisor, Machines: o.Machines,
+		StatusTopic: o.StatusTopic, WaveStatus: o.WaveStatus, WorkerTopic: o.WorkerTopic, Decode: o.DecodeWorker,
 		Tenure: e.tenure, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses, Operator: e.Operator,
 		Bounds: o.Bounds, Now: o.Now, Wall: o.Wall, Metrics: o.Metrics, Logger: part("scheduler"),
 	})
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -61,7 +61,8 @@
 	metrics.Counter(h.registry, "log.dropped", dropped)
 	h.registerProofs()
 	h.engine = engine.New(engine.Options{
-		Host: s.Host, CPUShare: s.CPUShare, Store: platform.NewStore(s.Store), Workers: platform.NewWorkers(), Advisor: advisor(s),
+		Host: s.Host, CPUShare: s.CPUShare, Store: platform.NewStore(s.Store), Workers: platform.NewWorkers(), Advisor: advisor(s), Machines: machines(s),
+		StatusTopic: platform.TopicStatus, WaveStatus: platform.EncodeWaveStatus,
 		OperatorTopic: platform.TopicOperator, WorkerTopic: platform.TopicWorkers,
 		DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker,
 		Bounds:      bounds(s),
@@ -91,9 +92,18 @@
 	return platform.NewAdvisor(s.Advice)
 }
 
+// machines is the client of the machines' interface, or nil if the platform has none.
+func machines(s *platform.Settings) workers.Machines {
+	if !s.Machines.IsValid() {
+		return nil
+	}
+	return platform.NewMachines(s.Machines)
+}
+
 func bounds(s *platform.Settings) scheduler.Bounds {
 	return scheduler.Bounds{
 		LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, StatusKeep: s.StatusKeep, WorkerHeartbeat: s.WorkerHeartbeat,
+		HolderLease: s.HolderLease, Upkeep: s.Upkeep,
 	}
 }
 
--- a/internal/engine/kinds_test.go
+++ b/internal/engine/kinds_test.go
@@ -1,10 +1,14 @@
 package engine_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/daisyfold/daisyfold/internal/engine/replica"
+	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/standin"
@@ -135,3 +139,52 @@
 		}
 	})
 }
+
+// TestWaveOfUpkeep guards against a wave that takes too many machines down at once or too
+// many serving tasks away, that is lost with its scheduler or with an answer, or that is
+// said to be completed too early. The ledger judges LIMIT and AVAIL.
+func TestWaveOfUpkeep(t *testing.T) {
+	for _, mayMiss := range []int{1, 4} {
+		t.Run(fmt.Sprintf("may miss %d", mayMiss), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playWave(t, mayMiss) })
+		})
+	}
+}
+
+func playWave(t *testing.T, mayMiss int) {
+	c := newCluster(t, clusterOptions{hosts: 3, workers: 6})
+	defer c.close()
+	serving := job(1, work.Step{Tasks: 4, Demand: large, LongRunning: true, MayMiss: mayMiss, MaxPerWorker: 1})
+	c.submit("normal", serving, standin.Behaviour{})
+	batch := job(2, work.Step{Tasks: 6, Demand: small, EstimateMS: 20_000, SavesProgress: true})
+	c.submit("batch", batch, standin.Behaviour{Work: 20 * time.Second})
+	time.Sleep(2 * time.Second)
+	const within = 40 * time.Second
+	wave := replica.Wave{Number: 7, Machines: []string{"w00", "w01", "w02", "w03", "w99"}, Within: within, Cap: waveCap}
+	value, err := json.Marshal(wave)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.machines.Silent = 1
+	began := time.Now()
+	c.store.Put(operatorTopic, store.Record{Key: "wave/7", Value: value})
+	time.Sleep(6 * time.Second)
+	c.crash(c.owner().name)
+	for {
+		status, _ := c.store.Newest(statusTopic, "wave/7")
+		if string(status.Value) == "true" {
+			break
+		}
+		if time.Since(began) > within {
+			t.Fatalf("the wave is not completed within its time; %d of 4 machines had their upkeep", c.machines.Begun())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if n := c.machines.Begun(); n != 4 {
+		t.Errorf("the wave is shown as completed, and %d of 4 machines had their upkeep", n)
+	}
+	c.await(batch.ID, work.Completed, 60*time.Second)
+	if n := len(c.runsOf(serving)); n != 4 {
+		t.Errorf("%d of 4 serving tasks run after the wave", n)
+	}
+}
--- a/internal/engine/replica/operator.go
+++ b/internal/engine/replica/operator.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -17,6 +18,18 @@
 	// Zone is set when the record takes a zone out of use or back.
 	Zone string
 	Out  bool
+	// WaveKey is set when the record asks for a wave of upkeep; Wave is nil when the
+	// record was taken back.
+	WaveKey string
+	Wave    *Wave
+}
+
+// Wave asks for the upkeep of machines.
+type Wave struct {
+	Number   int64
+	Machines []string
+	Within   time.Duration // of the time when it was asked for
+	Cap      int           // machines that may be down at once
 }
 
 // DecodeOperator reads a record of the operator. It returns an empty change for kinds
@@ -29,6 +42,7 @@
 	decode   DecodeOperator
 	manifest *manifest.Manifest
 	out      map[string]bool
+	waves    map[string]Wave
 	notify   chan struct{}
 	proof    func() (time.Duration, bool)
 	log      *zap.Logger
@@ -36,7 +50,7 @@
 
 // NewOperator returns an empty copy.
 func NewOperator(decode DecodeOperator, log *zap.Logger) *Operator {
-	return &Operator{decode: decode, out: map[string]bool{}, notify: make(chan struct{}, 1), log: log}
+	return &Operator{decode: decode, out: map[string]bool{}, waves: map[string]Wave{}, notify: make(chan struct{}, 1), log: log}
 }
 
 // ProvedBy names the follower that fills the copy.
@@ -69,6 +83,13 @@
 	return out
 }
 
+// Waves returns the waves of upkeep that are asked for, by key.
+func (o *Operator) Waves() map[string]Wave {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.waves)
+}
+
 // Changed receives after a change.
 func (o *Operator) Changed() <-chan struct{} { return o.notify }
 
@@ -76,6 +97,7 @@
 func (o *Operator) Reset(records []store.Record) {
 	o.mu.Lock()
 	clear(o.out)
+	clear(o.waves)
 	o.mu.Unlock()
 	o.Apply(records)
 }
@@ -103,6 +125,12 @@
 		o.log.Info("manifest in force", zap.Int64("version", m.Version), zap.Int("queues", len(m.Queues)))
 		o.manifest = m
 	}
+	if c.WaveKey != "" {
+		delete(o.waves, c.WaveKey)
+		if c.Wave != nil {
+			o.waves[c.WaveKey] = *c.Wave
+		}
+	}
 	if c.Zone == "" || o.out[c.Zone] == c.Out {
 		return
 	}
--- a/internal/engine/scheduler/evict.go
+++ b/internal/engine/scheduler/evict.go
@@ -83,12 +83,12 @@
 func (t *term) evictable(q ready) map[unit][]*run {
 	out := map[unit][]*run{}
 	over := t.overGuarantee()
+	spare := map[spareKey]int{}
 	for _, j := range t.jobs {
 		yields := j.Priority > q.job.Priority || (q.guaranteed && j.Priority == 0 && over[j.Organisation])
 		if j.Service != q.job.Service || !yields {
 			continue
 		}
-		spare := map[int]int{} // long-running tasks that may be stopped, by step
 		for r := range j.runs {
 			if r.stopping || (r.step().MayMiss > 0 && !t.maySpare(r, spare)) {
 				continue
@@ -103,15 +103,21 @@
 	return out
 }
 
+// spareKey is a long-running step in a count of how many more of its tasks may be away.
+type spareKey struct {
+	job  *job
+	step int
+}
+
 // maySpare tells whether one more task of a long-running step may be away, and counts it
 // in spare.
-func (t *term) maySpare(r *run, spare map[int]int) bool {
-	step := r.job.StepOf(r.name.Task)
-	if _, counted := spare[step]; !counted {
-		spare[step] = r.step().MayMiss - r.job.away(step)
+func (t *term) maySpare(r *run, spare map[spareKey]int) bool {
+	key := spareKey{r.job, r.job.StepOf(r.name.Task)}
+	if _, counted := spare[key]; !counted {
+		spare[key] = r.step().MayMiss - r.job.away(key.step)
 	}
-	spare[step]--
-	return spare[step] >= 0
+	spare[key]--
+	return spare[key] >= 0
 }
 
 // away counts the tasks of a long-running step that are not at work.
--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -285,7 +285,7 @@
 
 // usable tells whether the worker may get something new.
 func (t *term) usable(w *worker, now time.Duration) bool {
-	return w.listed && !w.dead && w.reached && w.misses == 0 && !w.entry.Draining &&
+	return w.listed && !w.dead && w.reached && w.misses == 0 && !w.entry.Draining && !w.upkeep &&
 		!t.zonesOut[w.entry.Zone] && now >= w.rests && now-w.answered < silent
 }
 
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -29,6 +29,9 @@
 	StatusKeep  time.Duration // how long an ended job's state stays readable
 	// WorkerHeartbeat is the interval in which workers renew their entries.
 	WorkerHeartbeat time.Duration
+	// HolderLease is how long a former holder of machines may still be ordering.
+	HolderLease time.Duration
+	Upkeep      time.Duration // how long a machine is down for its upkeep
 }
 
 // DecodeWorker reads a worker's entry in the platform's list.
@@ -39,7 +42,12 @@
 	Store   store.Store
 	Workers workers.Client
 	// Advisor is nil where the platform has no advice service.
-	Advisor     workers.Advisor
+	Advisor workers.Advisor
+	// Machines is nil where the platform has no interface to its machines.
+	Machines workers.Machines
+	// StatusTopic and WaveStatus are the platform's, for what the operator reads.
+	StatusTopic string
+	WaveStatus  func(wave replica.Wave, completed bool) store.Record
 	WorkerTopic string
 	Decode      DecodeWorker
 	Tenure      *tenure.Tenure
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -162,6 +162,8 @@
 	// rests is until when the worker gets nothing new; failures in a row lengthen it.
 	rests    time.Duration
 	failures int
+	// upkeep is set while the worker's machine is emptied or goes down for its upkeep.
+	upkeep bool
 	// leaves is when a draining worker may leave at the earliest.
 	leaves time.Duration
 	// slowUntil is until when others are preferred, because runs here lag behind.
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -47,6 +47,7 @@
 	newWorkerList(t).Reset(list)
 	t.drainEvents()
 	t.zonesOut = t.Operator.ZonesOut()
+	t.takeWaves()
 	t.inheritJobs(runs)
 	t.metrics.takeovers.Inc(1)
 	t.log.Info("took over", zap.Int("jobs", len(t.jobs)), zap.Int("workers", len(t.workers)),
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -57,6 +57,7 @@
 	// be sent at adviceAt.
 	advising bool
 	adviceAt time.Duration
+	waves    waves
 	// wake is when to plan again although nothing happened.
 	wake time.Duration
 	recorder
@@ -73,6 +74,7 @@
 	}
 	t.runs.topic, t.statuses.topic = replica.TopicRuns, replica.TopicStatuses
 	t.show = map[string][]byte{}
+	t.waves = waves{running: map[string]*waveRun{}, status: writer{topic: t.StatusTopic}}
 	if err := t.takeOver(); err != nil {
 		return err
 	}
@@ -133,6 +135,7 @@
 		t.swept = now
 		t.sweepWorkers(now)
 		t.sweepJobs()
+		t.sweepWaves(now)
 	}
 	t.sweepMarked(now)
 	if t.replan || now >= t.wake {
@@ -240,5 +243,6 @@
 // takeOperator takes the zones that are out of use.
 func (t *term) takeOperator() {
 	t.zonesOut = t.Operator.ZonesOut()
+	t.takeWaves()
 	t.replan = true
 }
