--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -64,6 +64,20 @@
 	return allowed
 }
 
+// adviceMayAllow are the workers that the step may turn out to be allowed on: all but
+// those that were asked about and got no ticket.
+func (t *term) adviceMayAllow(s *plan.Snapshot, q ready) map[string]bool {
+	known := q.job.advise(q.step)
+	allowed := map[string]bool{}
+	for _, n := range s.Nodes {
+		id := t.workers[n.Key].entry.ID
+		if _, good := known.tickets[id]; good || !known.asked[id] {
+			allowed[n.Key] = true
+		}
+	}
+	return allowed
+}
+
 // ticketFor is the ticket that a run's start carries; ok is false if there is none.
 func (t *term) ticketFor(r *run, now time.Duration) (text string, ok bool) {
 	k := r.job.advise(r.job.StepOf(r.name.Task)).tickets[r.worker.entry.ID]
--- a/internal/engine/scheduler/ends.go
+++ b/internal/engine/scheduler/ends.go
@@ -12,6 +12,9 @@
 func (t *term) over(r *run, how workers.Ending, checkpoint string) {
 	t.replan = true
 	r.worker.removeRun(r)
+	if r.giveUp != nil {
+		r.giveUp()
+	}
 	t.metrics.endings[how].Inc(1)
 	t.log.Info("run over", zap.Stringer("run", r.name), zap.String("worker", r.worker.key), zap.Stringer("how", how),
 		zap.Duration("after", t.Now()-r.startedAt), zap.Float64("percent", r.percent), zap.Float64("speed", r.pace.last))
--- a/internal/engine/scheduler/evict.go
+++ b/internal/engine/scheduler/evict.go
@@ -110,8 +110,12 @@
 }
 
 // maySpare tells whether one more task of a long-running step may be away, and counts it
-// in spare.
+// in spare. A task that a former owner has told to stop still seems to be at work until
+// its stop is over.
 func (t *term) maySpare(r *run, spare map[spareKey]int) bool {
+	if t.Now()-t.began < t.bounds.StopTimeout+lapseSlack {
+		return false
+	}
 	key := spareKey{r.job, r.job.StepOf(r.name.Task)}
 	if _, counted := spare[key]; !counted {
 		spare[key] = r.step().MayMiss - r.job.away(key.step)
@@ -120,11 +124,13 @@
 	return spare[key] >= 0
 }
 
-// away counts the tasks of a long-running step that are not at work.
+// away counts the tasks of a long-running step that are not known to be at work: a worker
+// that does not answer may have ended them.
 func (j *job) away(step int) int {
 	away := len(j.state.Steps[step].Tasks)
 	for r := range j.runs {
-		if j.StepOf(r.name.Task) == step && r.phase == runStarted && !r.stopping && r.percent >= complete {
+		if j.StepOf(r.name.Task) == step && r.phase == runStarted && !r.stopping &&
+			r.percent >= complete && r.worker.misses == 0 {
 			away--
 		}
 	}
--- a/internal/engine/scheduler/look.go
+++ b/internal/engine/scheduler/look.go
@@ -86,7 +86,7 @@
 
 // replaced ends the runs of an earlier life: a worker that starts again knows nothing of
 // before. Starts do not say which life they are for, so one that was not seen in a
-// report of the earlier life may have reached the later one.
+// report of the earlier life, or may be sent once more, may reach the later one.
 func (t *term) replaced(older string, by *worker) {
 	w := t.workers[older]
 	if w == nil || w.dead {
@@ -94,17 +94,12 @@
 	}
 	t.log.Info("worker started again", zap.String("worker", older), zap.String("as", by.key), zap.Int("runs", len(w.runs)))
 	for _, r := range w.sortedRuns() {
-		if r.phase == runPlanned || (r.reported && !r.open) {
+		if r.phase == runPlanned || (r.reported && !r.open && r.phase != runSent) {
 			continue
 		}
 		w.removeRun(r)
-		r.worker = by
-		by.addRun(r)
+		t.moveRun(r, by)
 		by.heldUntil = t.Now() + lateMost + t.longestLease()
-		if task := r.task(); task != nil {
-			task.Worker = by.key
-			t.touch(r.job)
-		}
 		if r.phase == runStarted {
 			r.phase, r.settled = runOpen, t.Now()
 		}
@@ -298,7 +293,7 @@
 			continue
 		}
 		seen = max(seen, e.Number)
-		if r := w.runs[e.Run]; r != nil {
+		if r := t.runOn(w, e.Run); r != nil {
 			t.over(r, e.How, e.Checkpoint)
 		} else {
 			t.log.Info("an unknown run ended", zap.String("worker", w.key), zap.Stringer("run", e.Run), zap.Stringer("how", e.How))
@@ -334,7 +329,7 @@
 
 // takeRunning takes the report of one run that is on the worker.
 func (t *term) takeRunning(w *worker, entry workers.Running, now time.Duration) {
-	r := w.runs[entry.Run]
+	r := t.runOn(w, entry.Run)
 	if r == nil {
 		t.log.Warn("a run is on a worker that no record puts there; it is stopped", zap.String("worker", w.key), zap.Stringer("run", entry.Run))
 		r = &run{name: entry.Run, worker: w, demand: t.demandOf(entry.Run.Task), phase: runStarted}
@@ -359,6 +354,39 @@
 	}
 }
 
+// runOn is the run that a worker reports, or nil. A run that is recorded on another life
+// of the same worker is moved here: its start reached this life, and a former owner could
+// not record that.
+func (t *term) runOn(w *worker, name work.RunName) *run {
+	if r := w.runs[name]; r != nil {
+		return r
+	}
+	j := t.jobs[name.Task.Job]
+	if j == nil {
+		return nil
+	}
+	for r := range j.runs {
+		if r.name != name || work.WorkerID(r.worker.key) != work.WorkerID(w.key) {
+			continue
+		}
+		t.log.Info("a run is on another life of its worker", zap.Stringer("run", name), zap.String("recorded", r.worker.key), zap.String("worker", w.key))
+		r.worker.removeRun(r)
+		t.moveRun(r, w)
+		return r
+	}
+	return nil
+}
+
+// moveRun puts a run that was taken off its worker on another life of that.
+func (t *term) moveRun(r *run, to *worker) {
+	r.worker = to
+	to.addRun(r)
+	if task := r.task(); task != nil {
+		task.Worker = to.key
+		t.touch(r.job)
+	}
+}
+
 // demandOf is the room that a task takes, if its job is known.
 func (t *term) demandOf(n work.TaskName) work.Demand {
 	j := t.jobs[n.Job]
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -54,8 +54,11 @@
 	}
 	ref := r.worker.ref()
 	t.metrics.starts.Inc(1)
+	ctx, cancel := context.WithCancel(t.ctx)
+	r.giveUp = cancel
 	go func() {
-		answer, open, err := t.startUntilAnswered(ref, order)
+		defer cancel()
+		answer, open, err := t.startUntilAnswered(ctx, ref, order)
 		t.post(func(t *term) { t.started(r, now, answer, open, err) })
 	}()
 }
@@ -63,12 +66,12 @@
 // startUntilAnswered sends a start again while it gets no answer. A worker has each run
 // once, so repetitions are harmless. open tells that a try without an answer may still
 // be carried out.
-func (t *term) startUntilAnswered(ref workers.Ref, order workers.StartOrder) (answer workers.Answer, open bool, err error) {
+func (t *term) startUntilAnswered(within context.Context, ref workers.Ref, order workers.StartOrder) (answer workers.Answer, open bool, err error) {
 	for range startTries {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTry)
+		ctx, cancel := context.WithTimeout(within, orderTry)
 		answer, err = t.Workers.Start(ctx, ref, order)
 		cancel()
-		if err == nil || t.ctx.Err() != nil {
+		if err == nil || within.Err() != nil {
 			return answer, open, err
 		}
 		open = true
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -158,6 +158,9 @@
 func (t *term) placeStep(s *plan.Snapshot, q ready, now time.Duration, reservations *int) {
 	step, ask := q.job.StepAt(q.step), q.ask()
 	s.Unclaim(ask, q.job.claimed(q.step, now))
+	if q.job.Advised {
+		ask.Allowed = t.adviceMayAllow(s, q)
+	}
 	if !s.CouldEver(ask) || (step.Rack != "" && now-q.job.waiting[q.step] > anyRackAfter) {
 		ask.AnyRack = true
 	}
--- a/internal/engine/scheduler/progress.go
+++ b/internal/engine/scheduler/progress.go
@@ -20,6 +20,9 @@
 	// stalledAfter is for how long a run may report the same progress. The slowest sound
 	// runs rise by a point in that time.
 	stalledAfter = 2500 * time.Millisecond
+	// stuckAfter is for how long a run may make no progress at all before it is started
+	// again however often it was moved: twice as long as workers are known to stand still.
+	stuckAfter = 10 * time.Second
 	// speedKeep is how long a speed is compared with those of the gang's other members.
 	speedKeep = 4 * time.Second
 	// lagging is the part of its own earlier speed, or of the median of its gang, below
@@ -49,6 +52,7 @@
 	// best is the highest speed so far, last the newest, measured when it was taken.
 	best, last float64
 	measured   time.Duration
+	rose       time.Duration // when the percentage last rose
 }
 
 // sample takes a percentage and tells whether the newest speed has changed. expected is
@@ -61,6 +65,9 @@
 	}
 	p.last, p.measured = points/window.Seconds(), now
 	p.best = max(p.best, p.last)
+	if points > 0 {
+		p.rose = now
+	}
 	p.percent, p.at = percent, now
 	return true
 }
@@ -95,7 +102,8 @@
 			zap.Float64("speed", r.pace.last), zap.Float64("usual", usual), zap.Float64("percent", r.percent))
 	}
 	w.slowUntil = now + slowRest
-	if r.job.moves[r.counted()] >= movesMost || !t.fasterElsewhere(r, usual) {
+	stuck := now-max(r.pace.rose, began) > stuckAfter
+	if !stuck && (r.job.moves[r.counted()] >= movesMost || !t.fasterElsewhere(r, usual)) {
 		return
 	}
 	r.job.moves[r.counted()]++
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
@@ -95,6 +96,8 @@
 	stopSent time.Duration // when the last stop was sent
 	stopOpen bool          // a stop is on its way
 	stopDone time.Duration // when a stop was answered; 0 if none was
+	// giveUp ends the repetition of its start; nil before the first one.
+	giveUp context.CancelFunc
 	// open tells that a try of its start got no answer: the worker may carry it out
 	// late, and so may its next life.
 	open bool
--- a/internal/engine/work/name.go
+++ b/internal/engine/work/name.go
@@ -55,4 +55,12 @@
 
 // WorkerKey identifies one life of a worker: a worker that starts again under its id
 // knows nothing of its earlier life.
-func WorkerKey(id string, bornMS int64) string { return id + "@" + strconv.FormatInt(bornMS, 10) }
+func WorkerKey(id string, bornMS int64) string {
+	return id + lifeSeparator + strconv.FormatInt(bornMS, 10)
+}
+
+// WorkerID returns the id of a worker's key.
+func WorkerID(key string) string { return key[:max(strings.LastIndex(key, lifeSeparator), 0)] }
+
+// lifeSeparator parts the id of a worker from the birth of its life.
+const lifeSeparator = "@"
