Drop reservations while most of the room is unused

Reservations explain it: three gangs of one rack that do not fit yet can reserve every free worker, and smaller work then waits for as long as they do. Change: work that has waited 1.5 s drops the reservations of the pass while less than half of the room is in use. Measured: TestReservationsDoNotIdle fails before ('not ended within 4s') and passes.

--- a/internal/engine/outage_test.go
+++ b/internal/engine/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -260,3 +261,23 @@
 		}
 	})
 }
+
+// TestReservationsDoNotIdle guards against small work that waits on an almost empty cluster,
+// because all its free room is reserved for gangs of one rack that do not fit yet.
+func TestReservationsDoNotIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		for i := range 2 {
+			blocker := job(100+i, work.Step{Tasks: 1, Demand: small, EstimateMS: 60_000, Rack: fmt.Sprintf("rack-%d", i)})
+			c.submit("normal", blocker, standin.Behaviour{Work: 60 * time.Second})
+		}
+		for i := range 2 {
+			gang := job(200+i, work.Step{Tasks: 6, Demand: large, EstimateMS: 5000, Gang: true, SameRack: true})
+			c.submit("normal", gang, standin.Behaviour{Work: 5 * time.Second})
+		}
+		j := job(1, work.Step{Tasks: 1, Demand: small, EstimateMS: 1000})
+		c.submit("batch", j, standin.Behaviour{Work: time.Second})
+		c.await(j.ID, work.Completed, 4*time.Second)
+	})
+}
--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -93,8 +93,32 @@
 // Snapshot is the set of workers of one service.
 type Snapshot struct {
 	Nodes []*Node
-	// held is room that Avoid took, by worker.
-	held map[*Node]work.Demand
+	// held is room that Avoid took, by worker, and reserved what Reserve took.
+	held, reserved map[*Node]work.Demand
+}
+
+// InUse is the part of the workers' accelerators, or of their processors if there are no
+// accelerators, that is taken, not counting reservations.
+func (s *Snapshot) InUse() float64 {
+	var total, free work.Demand
+	for _, n := range s.Nodes {
+		total, free = total.Plus(n.Total), free.Plus(n.Free).Plus(s.reserved[n])
+	}
+	switch {
+	case total.Accelerators > 0:
+		return 1 - float64(free.Accelerators)/float64(total.Accelerators)
+	case total.CPU > 0:
+		return 1 - float64(free.CPU)/float64(total.CPU)
+	}
+	return 0
+}
+
+// DropReservations gives reserved room back.
+func (s *Snapshot) DropReservations() {
+	for n, d := range s.reserved {
+		n.Free = n.Free.Plus(d)
+	}
+	s.reserved = nil
 }
 
 // Avoid keeps the named workers from getting tasks until Release.
@@ -249,7 +273,12 @@
 			continue
 		}
 		left -= k
-		n.Free = n.Free.Minus(a.Step.Demand.Times(k))
+		taken := a.Step.Demand.Times(k)
+		n.Free = n.Free.Minus(taken)
+		if s.reserved == nil {
+			s.reserved = map[*Node]work.Demand{}
+		}
+		s.reserved[n] = s.reserved[n].Plus(taken)
 		reserved = append(reserved, n)
 	}
 	return reserved
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -15,6 +15,10 @@
 const (
 	// maxReservations bounds the jobs that room is kept free for.
 	maxReservations = 3
+	// reservePatience is how long work waits behind reservations while less than
+	// reserveUse of the room is in use; the platform expects a start within 3 s then.
+	reservePatience = 1500 * time.Millisecond
+	reserveUse      = 0.5
 	// anyRackAfter is how long a step waits for its preferred rack.
 	anyRackAfter = 1500 * time.Millisecond
 	// replanAfter is when to plan again while something waits.
@@ -167,6 +171,9 @@
 	if q.job.Advised {
 		ask.Allowed = t.ticketed(q.job, q.step, now)
 	}
+	if now-q.job.waiting[q.step] > reservePatience && s.InUse() < reserveUse {
+		s.DropReservations()
+	}
 	avoid := t.avoided(q.job, now)
 	s.Avoid(avoid)
 	nodes := s.Place(ask)
