Trace a job through the logs of several hosts

Change: daisyfold job trace ID FILE... prints all lines that name the job or one of its runs, and takeovers, stores lost and changes of readiness in that time, in time order, with the host's file and the time since the first. A file or line that cannot be read is reported with its place.

--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -20,6 +20,8 @@
 		{name: "cancel", short: "Cancel a job", command: &cancelCommand{env: e}, long: "Cancels a job."},
 		{name: "explain", short: "Show why a job is where it is", command: &explainCommand{env: e},
 			long: "Shows the reasons of the planner's last decisions on a job."},
+		{name: "trace", short: "Show what logs say of a job", command: &traceCommand{env: e},
+			long: "Shows, in time order, the lines of daemons' logs that name a job or one of its runs, and those that may explain its waits: takeovers, stores lost and changes of readiness. It asks no daemon."},
 	}
 }
 
