Keep planning from growing with steps times workers

For each waiting step a pass looked through all workers for slow ones, for the use of the room and for claims that mostly do not exist; at the design size that is steps times 7,500. Change: slow workers and the use of the room are found once a pass; empty claims cost nothing.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -98,11 +98,11 @@
 }
 
 // InUse is the part of the workers' accelerators, or of their processors if there are no
-// accelerators, that is taken, not counting reservations.
+// accelerators, that is taken.
 func (s *Snapshot) InUse() float64 {
 	var total, free work.Demand
 	for _, n := range s.Nodes {
-		total, free = total.Plus(n.Total), free.Plus(n.Free).Plus(s.reserved[n])
+		total, free = total.Plus(n.Total), free.Plus(n.Free)
 	}
 	switch {
 	case total.Accelerators > 0:
--- a/internal/engine/plan/preempt.go
+++ b/internal/engine/plan/preempt.go
@@ -43,6 +43,9 @@
 
 // Claim takes the room of an eviction's claims, even where it is not free yet.
 func (s *Snapshot) Claim(a *Ask, claims map[string]int) {
+	if len(claims) == 0 {
+		return
+	}
 	for _, n := range s.Nodes {
 		if k := claims[n.Key]; k > 0 {
 			n.Free = n.Free.Minus(a.Step.Demand.Times(k))
@@ -52,6 +55,9 @@
 
 // Unclaim gives the room of claims back.
 func (s *Snapshot) Unclaim(a *Ask, claims map[string]int) {
+	if len(claims) == 0 {
+		return
+	}
 	for _, n := range s.Nodes {
 		if k := claims[n.Key]; k > 0 {
 			n.Free = n.Free.Plus(a.Step.Demand.Times(k))
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -48,18 +48,21 @@
 	}
 	t.wake = min(t.wake, now+replanAfter)
 	snapshots := t.snapshots(now)
+	p := pass{now: now, slow: t.slowWorkers(now), idle: map[*plan.Snapshot]bool{}}
+	for _, s := range snapshots {
+		p.idle[s] = s.InUse() < reserveUse
+	}
 	for _, q := range queue {
 		if s := snapshots[q.job.Service]; s != nil {
 			s.Claim(q.ask(), q.job.claimed(q.step, now))
 		}
 	}
-	reservations := 0
 	for _, q := range queue {
 		s := snapshots[q.job.Service]
 		if s == nil {
 			continue
 		}
-		t.placeStep(s, q, now, &reservations)
+		t.placeStep(s, q, &p)
 	}
 	t.metrics.planTime.Update(t.Now() - now)
 }
@@ -159,7 +162,30 @@
 	return &plan.Ask{Key: plan.StepKey{Job: q.job.ID, Step: q.step}, Step: q.job.StepAt(q.step), Tasks: len(q.tasks)}
 }
 
-func (t *term) placeStep(s *plan.Snapshot, q ready, now time.Duration, reservations *int) {
+// pass is what holds for one planning of the whole queue.
+type pass struct {
+	now time.Duration
+	// slow workers get tasks only if no others can take them.
+	slow map[string]bool
+	// idle services have most of their room unused.
+	idle map[*plan.Snapshot]bool
+	// reservations counts the steps that room is kept free for.
+	reservations int
+}
+
+// slowWorkers are those on which runs have lagged behind lately.
+func (t *term) slowWorkers(now time.Duration) map[string]bool {
+	slow := map[string]bool{}
+	for key, w := range t.workers {
+		if now < w.slowUntil {
+			slow[key] = true
+		}
+	}
+	return slow
+}
+
+func (t *term) placeStep(s *plan.Snapshot, q ready, p *pass) {
+	now := p.now
 	step, ask := q.job.StepAt(q.step), q.ask()
 	s.Unclaim(ask, q.job.claimed(q.step, now))
 	if q.job.Advised {
@@ -171,10 +197,10 @@
 	if q.job.Advised {
 		ask.Allowed = t.ticketed(q.job, q.step, now)
 	}
-	if now-q.job.waiting[q.step] > reservePatience && s.InUse() < reserveUse {
+	if p.idle[s] && now-q.job.waiting[q.step] > reservePatience {
 		s.DropReservations()
 	}
-	avoid := t.avoided(q.job, now)
+	avoid := q.job.avoided(p.slow)
 	s.Avoid(avoid)
 	nodes := s.Place(ask)
 	s.Release()
@@ -201,20 +227,22 @@
 	if (q.job.Priority == 0 || step.LongRunning) && t.evict(s, q, &rest, now) {
 		return
 	}
-	if step.Gang && *reservations < maxReservations {
-		*reservations++
+	if step.Gang && p.reservations < maxReservations {
+		p.reservations++
 		s.Reserve(&rest)
 	}
 }
 
 // avoided are the workers that get tasks of the job only if no others can take them.
-func (t *term) avoided(j *job, now time.Duration) map[string]bool {
-	avoid := maps.Clone(j.avoid)
-	for key, w := range t.workers {
-		if now < w.slowUntil {
-			avoid[key] = true
-		}
+func (j *job) avoided(slow map[string]bool) map[string]bool {
+	switch {
+	case len(j.avoid) == 0:
+		return slow
+	case len(slow) == 0:
+		return j.avoid
 	}
+	avoid := maps.Clone(j.avoid)
+	maps.Copy(avoid, slow)
 	return avoid
 }
 
