--- a/internal/engine/replica/follower.go
+++ b/internal/engine/replica/follower.go
@@ -19,9 +19,12 @@
 const (
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// extraMost bounds the pause that is added after refusals, and each read that is
-	// answered halves it. A host that must not pause, such as the scheduler's, adds none.
-	extraMost = 400 * time.Millisecond
+	// extraMost bounds the pause that is added after refusals; after each read that is
+	// answered one part in extraDecay of it goes. Hundreds of hosts share the store's rate
+	// of reads only if they return to it slowly. A host that must not pause, such as the
+	// scheduler's, adds none.
+	extraMost  = 2 * time.Second
+	extraDecay = 8
 )
 
 // Sink takes a topic's records.
@@ -103,7 +106,7 @@
 		if d := f.Pause(); d > 0 && brought {
 			pause(ctx, d+f.extra)
 		}
-		f.extra /= 2
+		f.extra -= f.extra / extraDecay
 	}
 	return ctx.Err()
 }
