Tell runs that ended with their worker from lapsed leases

Cause: a run whose worker crashed, whose worker left as announced, and whose lease ran out all were logged and counted as lapsed, so that the hypotheses on tasks that crash workers could not be told apart. Measured: go test ./internal/engine/... ./platform/... passes.

--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -97,6 +97,9 @@
 	if w == nil || w.dead {
 		return
 	}
+	if !w.announcedLeave() {
+		t.handleCrash(w)
+	}
 	t.log.Info("worker started again", zap.String("worker", olderKey), zap.String("as", successor.key), zap.Int("runs", len(w.runs)))
 	for _, r := range w.sortedRuns() {
 		if r.phase == runPlanned || (r.reported && !r.startUnanswered && r.phase != runStartSent) {
@@ -114,12 +117,21 @@
 
 // markDead ends all runs of a worker that is known to run nothing.
 func (t *term) markDead(w *worker) {
+	ending := workers.EndedWorkerLeft
+	if !w.announcedLeave() {
+		ending = workers.EndedWorkerCrashed
+		t.handleCrash(w)
+	}
 	w.dead, w.listed = true, false
 	for _, r := range w.sortedRuns() {
-		t.endRun(r, workers.EndedLapsed, "")
+		t.endRun(r, ending, "")
 	}
 }
 
+// announcedLeave reports whether the worker is expected to end its runs: it is draining, or
+// its machine is in upkeep.
+func (w *worker) announcedLeave() bool { return w.entry.Draining || w.inUpkeep }
+
 // checkWorkers sends the orders that are due and ends lapsed runs, for all workers.
 func (t *term) checkWorkers(now time.Duration) {
 	for key, w := range t.workers {
@@ -279,6 +291,9 @@
 
 func (t *term) handleMissedPoll(w *worker, now time.Duration, err error) {
 	w.missedPolls++
+	if w.missedPolls == 1 {
+		w.lostAt = now
+	}
 	if w.missedPolls == 2 {
 		t.log.Warn("worker lost", zap.String("worker", w.key), zap.Int("runs", len(w.runs)), zap.Error(err))
 	}
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -144,7 +144,7 @@
 	for o := workers.Accepted; o <= workers.NotSent; o++ {
 		m.startAnswers[o] = counter("start_answers." + o.String())
 	}
-	for e := workers.EndedDone; e <= workers.EndedGangIncomplete; e++ {
+	for e := workers.EndedDone; e <= workers.EndedWorkerLeft; e++ {
 		m.runEndings[e] = counter("ends." + e.String())
 	}
 	return m
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -189,6 +189,8 @@
 	pollInFlight bool
 	nextPollAt   time.Duration // when the next poll is due
 	missedPolls  int           // consecutive polls without an answer
+	lostAt       time.Duration // when the first of them failed
+	crashHandled bool          // handleCrash was called
 }
 
 func (w *worker) ref() workers.Ref { return workers.Ref{ID: w.entry.ID, Address: w.entry.Address} }
--- a/internal/engine/workers/workers.go
+++ b/internal/engine/workers/workers.go
@@ -123,9 +123,13 @@
 	// EndedGangIncomplete means that the run waited too long for the other members of
 	// its gang.
 	EndedGangIncomplete
+	// EndedWorkerCrashed and EndedWorkerLeft mean that the run ended with its worker, which
+	// crashed or left as announced. No worker reports these endings.
+	EndedWorkerCrashed
+	EndedWorkerLeft
 )
 
-var endingNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}
+var endingNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "worker_crashed", "worker_left"}
 
 // String returns the ending's name for logs and metrics.
 func (e Ending) String() string { return endingNames[e] }
