Show tasks that crash their workers on the stand-in

Cause: the stand-in had no task that crashes its worker, and its ledger did not judge starts after such crashes, so that no test could show BUDGET.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -77,6 +77,9 @@
 	cpuShares      map[string]float64
 	seed           uint64
 	log            *zap.Logger
+	// newIDAfterCrash gives workers a new id when they restart after a crash that a task
+	// caused.
+	newIDAfterCrash bool
 }
 
 func newCluster(t *testing.T, o clusterOptions) *cluster {
@@ -89,7 +92,7 @@
 	c := &cluster{t: t, store: s, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
 	c.fleet = standin.NewFleet(standin.FleetOptions{
 		MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
-		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed,
+		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash,
 	}, s)
 	c.advisor, c.machines = c.fleet.Advisor(), c.fleet.Machines(maxDownPerWave)
 	for i := range o.workers {
@@ -284,11 +287,17 @@
 
 // submitWithKey is submit with the key of an organisation.
 func (c *cluster) submitWithKey(key, queue string, j work.Job, b standin.Behaviour) {
+	c.t.Helper()
+	c.submitTasks(key, queue, j, func(int, int) standin.Behaviour { return b })
+}
+
+// submitTasks is submitWithKey with a behaviour for each task.
+func (c *cluster) submitTasks(key, queue string, j work.Job, behaviour func(step, index int) standin.Behaviour) {
 	c.t.Helper()
 	target := newCall("/" + queue + "/" + j.ID)
 	target.Key = key
 	j.MaxAttempts = 3
-	c.fleet.RegisterJob(&j, func(int, int) standin.Behaviour { return b })
+	c.fleet.RegisterJob(&j, behaviour)
 	for range 60 {
 		a := c.anyHost().Intake.Submit(c.t.Context(), target, j)
 		if a.Outcome == intake.OK {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -23,6 +23,8 @@
 	Failures int
 	// Hangs marks a task that makes no progress and never ends by itself.
 	Hangs bool
+	// CrashesWorker marks a task that crashes each worker that starts it.
+	CrashesWorker bool
 }
 
 // FleetOptions are the parameters of a fleet.
@@ -33,6 +35,9 @@
 	// several.
 	CrossRackSlowdown float64
 	Seed              uint64
+	// NewIDAfterCrash gives workers a new id when they restart after a crash that a task
+	// caused.
+	NewIDAfterCrash bool
 	// EncodeEntry encodes a worker's entry for TopicWorkers. If it is nil, entries have
 	// the format that DecodeWorker decodes.
 	EncodeEntry func(*workers.Entry) []byte
@@ -275,6 +280,44 @@
 	w.notifyChanged()
 }
 
+const (
+	// taskCrashDelay is the time from the start of a task that crashes its worker to the
+	// crash, and taskCrashDownTime the time until the worker restarts.
+	taskCrashDelay    = 10 * time.Millisecond
+	taskCrashDownTime = 3 * time.Second
+)
+
+// crashByTask crashes the worker a moment after the start of a run that causes it, and
+// restarts it later.
+func (w *Worker) crashByTask(r *activeRun) {
+	f := w.fleet
+	time.AfterFunc(taskCrashDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.runs[r.name.Task] != r {
+			return
+		}
+		w.removeRun(r, endingCrashedWorker)
+		w.terminate()
+		time.AfterFunc(taskCrashDownTime, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !w.up && w.closed == 0 {
+				w.restartAfterCrash()
+			}
+		})
+	})
+}
+
+// restartAfterCrash starts the next incarnation. The caller holds the lock.
+func (w *Worker) restartAfterCrash() {
+	if w.fleet.NewIDAfterCrash {
+		w.fleet.store.Put(TopicWorkers, store.Record{Key: w.entry.ID})
+		w.entry.ID += "x"
+	}
+	w.startIncarnation()
+}
+
 // Restart terminates the worker, if it is up, and starts a new incarnation with the same
 // id and address.
 func (w *Worker) Restart() {
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -29,7 +29,8 @@
 // workers can observe. The text of a violation begins with its category:
 //
 //   - TWICE: a task runs twice at the same time, or again after it was done.
-//   - BUDGET: a task is started after its last permitted failure.
+//   - BUDGET: a task is started after its last permitted failure, or for the third time
+//     after it has crashed three workers.
 //   - ORDER: a task is started before its dependencies are done or before it is due.
 //   - UNASKED: a task belongs to no registered job, or its spec is not its job's.
 //   - LIMIT: the capacity of a worker is exceeded, or the number of machines of a wave
@@ -102,7 +103,7 @@
 	defer l.mu.Unlock()
 	task := r.name.Task
 	entry := &LedgerRun{Name: r.name, Worker: w.entry.ID, Zone: w.entry.Zone, Begin: time.Now(), demand: r.step().Demand}
-	failures := 0
+	failures, crashes := 0, 0
 	for _, earlier := range l.runs[task] {
 		switch {
 		case earlier.End.IsZero():
@@ -111,8 +112,13 @@
 			l.addViolationLocked("TWICE: %s starts after run %d completed", task, earlier.Name.Number)
 		case earlier.Ending == workers.EndedFailed.String() && earlier.acknowledged && !earlier.lapsed:
 			failures++
+		case earlier.Ending == endingCrashedWorker:
+			crashes++
 		}
 	}
+	if crashes >= maxTaskCrashes+maxStartsAfterCrashes {
+		l.addViolationLocked("BUDGET: %s starts after it has crashed %d workers", task, crashes)
+	}
 	if failures >= r.job.MaxAttempts && !r.step().LongRunning {
 		l.addViolationLocked("BUDGET: %s starts after %d failures", task, failures)
 	}
@@ -173,6 +179,16 @@
 	return true
 }
 
+// endingCrashedWorker is the ending of a run that crashed its worker.
+const endingCrashedWorker = "crashed_worker"
+
+// After maxTaskCrashes crashes of workers, a task that causes them may be started
+// maxStartsAfterCrashes times more.
+const (
+	maxTaskCrashes        = 3
+	maxStartsAfterCrashes = 2
+)
+
 // maxDetectionDelay is the time within which the scheduler must detect that a task is
 // unavailable.
 const maxDetectionDelay = 4500 * time.Millisecond
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -36,6 +36,9 @@
 	r.totalWork = b.Work
 	w.runs[o.Run.Task] = r
 	f.ledger.recordStart(w, r, o)
+	if b.CrashesWorker {
+		w.crashByTask(r)
+	}
 	if !r.step().Gang {
 		r.scheduleEnd(b)
 		return
