Give up tasks that crash the workers that start them

Cause: a run that ends with its worker counted for nothing. The class of the fault is a retry without a budget: only reported failures had one. Change: internal/engine/blame judges each crash, as a pure function: a crash counts for the runs that had just started on the worker, or for all if none had, unless other workers were lost at the same time. A task is given up at its second crash if no other job's run can have caused it, and at the fourth in any case. The count is part of the task's state record, which is written before its next start, so that it outlives the owner. A suspect starts again on a worker of its own where there is one, and other jobs stay away from that worker for a second; so the second crash tells for certain and costs others nothing. Not counted: workers that are only silent, that are draining or in upkeep, and runs older than a minute.

--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -57,8 +57,9 @@
 	}
 	t.nextPlanAt = min(t.nextPlanAt, now+replanInterval)
 	snapshots := t.snapshots(now)
-	p := planningPass{now: now, slowWorkers: t.slowWorkers(now), underused: map[*plan.Snapshot]bool{},
+	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), underused: map[*plan.Snapshot]bool{},
 		overGuarantee: over, victimPools: map[victimClass]*victimPool{}}
+	t.updateSuspects(p)
 	for _, s := range snapshots {
 		p.underused[s] = s.UsedFraction() < reservationMinUsedFraction
 	}
@@ -72,7 +73,7 @@
 		if s == nil {
 			continue
 		}
-		t.placeStep(s, q, &p)
+		t.placeStep(s, q, p)
 	}
 	t.metrics.planTime.Update(t.Now() - now)
 }
@@ -184,6 +185,9 @@
 	// guaranteed.
 	overGuarantee map[string]bool
 	victimPools   map[victimClass]*victimPool
+	// isolated holds the workers that get no tasks of other jobs than the given one, by worker
+	// key; nil means of no job at all.
+	isolated map[string]*job
 	// reservations counts the steps for which resources are reserved.
 	reservations int
 }
@@ -217,15 +221,14 @@
 	if p.underused[s] && now-q.job.waitingSince[q.step] > maxReservationWait {
 		s.ReleaseReservations()
 	}
-	avoid := q.job.avoidedWorkers(p.slowWorkers)
-	s.Exclude(avoid)
-	nodes := placePreferringFaster(s, q, request)
-	s.RestoreExcluded()
-	if len(nodes) == 0 && len(avoid) > 0 {
-		nodes = placePreferringFaster(s, q, request)
-	}
+	nodes := placeExcluding(s, q, request, t.exclusions(q, p))
 	if len(nodes) > 0 {
 		t.assign(q, nodes, now)
+		if q.job.hasSuspects(q.step) {
+			for _, n := range nodes {
+				p.isolate(t.workers[n.Key], q.job)
+			}
+		}
 		q.job.consumeClaims(q.step, nodes)
 	}
 	if len(nodes) == len(q.tasks) {
@@ -250,6 +253,20 @@
 	}
 }
 
+// placeExcluding places the request without the first set of workers that leaves room for a
+// task or a gang.
+func placeExcluding(s *plan.Snapshot, q readyStep, request *plan.Request, exclusions []map[string]bool) []*plan.Node {
+	for _, excluded := range exclusions {
+		s.Exclude(excluded)
+		nodes := placePreferringFaster(s, q, request)
+		s.RestoreExcluded()
+		if len(nodes) > 0 {
+			return nodes
+		}
+	}
+	return nil
+}
+
 // placePreferringFaster places the request. Urgent gangs are placed on slower workers only
 // if they fit nowhere else: their objective leaves little more time than they need.
 func placePreferringFaster(s *plan.Snapshot, q readyStep, request *plan.Request) []*plan.Node {
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -275,6 +275,9 @@
 		t.log.Info("worker regained", zap.String("worker", w.key), zap.Duration("silent_for", now-w.answeredAt))
 	}
 	recovered := w.missedPolls > 0
+	if recovered {
+		t.forgetLoss(w)
+	}
 	if !w.reached || recovered {
 		t.needsPlanning = true
 	}
@@ -292,7 +295,7 @@
 func (t *term) handleMissedPoll(w *worker, now time.Duration, err error) {
 	w.missedPolls++
 	if w.missedPolls == 1 {
-		w.lostAt = now
+		t.recordLoss(w, now)
 	}
 	if w.missedPolls == 2 {
 		t.log.Warn("worker lost", zap.String("worker", w.key), zap.Int("runs", len(w.runs)), zap.Error(err))
@@ -374,6 +377,7 @@
 		t.log.Warn("a run continues after its stop; stopping it again", zap.String("worker", w.key), zap.Stringer("run", r.name))
 		r.stopAnsweredAt, r.stopSentAt = 0, 0
 	}
+	t.clearSuspicion(r, now)
 	r.percent = max(r.percent, entry.Percent)
 	if entry.Checkpoint != "" && entry.Checkpoint != r.checkpoint {
 		r.checkpoint, r.checkpointAt = entry.Checkpoint, now
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -128,6 +128,8 @@
 	startAnswers                          map[workers.Outcome]gometrics.Counter
 	runEndings                            map[workers.Ending]gometrics.Counter
 	unansweredStarts, panics              gometrics.Counter
+	// crashFailures counts jobs that were failed because their tasks crash workers.
+	workerCrashes, crashFailures gometrics.Counter
 }
 
 func newMetrics(r gometrics.Registry) metrics {
@@ -138,6 +140,7 @@
 	m := metrics{
 		starts: counter("starts"), stops: counter("stops"), preemptions: counter("preemptions"),
 		takeovers: counter("takeovers"), unansweredStarts: counter("starts_unanswered"), panics: counter("panics"),
+		workerCrashes: counter("worker_crashes"), crashFailures: counter("crash_failures"),
 		appendTime: timer("append"), startTime: timer("start"), waitTime: timer("wait"), planTime: timer("plan"), roundTime: timer("round"),
 		startAnswers: map[workers.Outcome]gometrics.Counter{}, runEndings: map[workers.Ending]gometrics.Counter{},
 	}
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -127,6 +127,9 @@
 	j.recordedHeader, j.publishedHeader = state.Header(), string(work.EncodeHeader(e.Status, e.Started))
 	if !state.Status.Ended() {
 		t.inheritRuns(j)
+		if j.anySuspect() {
+			t.suspects[j] = true
+		}
 	}
 	return j
 }
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/daisyfold/daisyfold/internal/engine/blame"
 	"github.com/daisyfold/daisyfold/internal/engine/recovery"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -53,6 +54,10 @@
 	// formerLeasesEnd is when every lease that a former owner requested has lapsed.
 	formerLeasesEnd time.Duration
 	endErr          error // why the term ended
+	// losses are recent losses of workers with runs. suspects are the jobs with tasks that may
+	// have crashed a worker.
+	losses   []blame.Loss
+	suspects map[*job]bool
 
 	// marked workers are checked in this round; all workers are checked once per tick.
 	marked    map[*worker]bool
@@ -80,6 +85,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
+		suspects: map[*job]bool{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
