Bound the crashes under a task around takeovers and other losses

Change: a crash under a fresh run always counts; several losses only rule out giving up before the fourth. Losses of workers that have not answered in a term are not compared. A takeover ends runs on replaced incarnations as the loop does. The upkeep mark counts as of the loss. A suspect waits up to 1 s for a worker without fresh runs, and a clear lead in crashes decides beside fresh runs of others. Only crashes under runs whose age is known to be below 0.5 s allow giving up at the second; the number alone never gives up a long-running task. Tests of the blame package and of crashes pass.

--- a/internal/engine/blame/blame.go
+++ b/internal/engine/blame/blame.go
@@ -12,7 +12,7 @@
 const (
 	// FreshAge is the age up to which a run may have crashed its worker with its start. A
 	// run that has worked for longer shows that its task does not.
-	FreshAge = time.Second
+	FreshAge = 500 * time.Millisecond
 	// maxCountedAge is the age from which a run is not counted: its task had worked for so
 	// long that the crash says nothing of it.
 	maxCountedAge = time.Minute
@@ -22,9 +22,12 @@
 )
 
 const (
-	// minCrashes is the number of crashes under a task after which it is given up if the last
-	// one can have no other cause.
-	minCrashes = 2
+	// minFreshCrashes is the number of crashes under fresh runs of a task after which it is
+	// given up if the last one can have no other cause.
+	minFreshCrashes = 2
+	// clearLead is how many more crashes than any task of another job in question a task must
+	// have to be given up beside it.
+	clearLead = 2
 	// maxCrashes is the number of crashes after which a suspect is given up in any case. The
 	// platform requires that a task is started at most twice more after three.
 	maxCrashes = 4
@@ -36,8 +39,12 @@
 	// Age is the time between the start of the run and the crash, if AgeKnown.
 	Age      time.Duration
 	AgeKnown bool
-	// Crashes is the number of earlier crashes that were counted for the task.
-	Crashes int
+	// Crashes is the number of earlier crashes that were counted for the task, FreshCrashes that
+	// of those under fresh runs.
+	Crashes, FreshCrashes int
+	// LongRunning reports whether the task runs until its job is cancelled. Such a task lives
+	// through many crashes, so that their number alone tells nothing.
+	LongRunning bool
 }
 
 // Fresh reports whether the run may have crashed its worker with its start.
@@ -73,16 +80,18 @@
 	return false
 }
 
-// Judge returns a verdict for each of the runs of a worker that crashed alone. If there are
-// fresh runs, the others are not to blame.
-func Judge(runs []Run) []Verdict {
+// Judge returns a verdict for each of the runs of a worker that crashed. If there are fresh
+// runs, the others are not to blame. shared is the result of SharedLoss: the crash may then
+// have had a cause outside the worker, and only counts for fresh runs, so that a task cannot
+// crash workers without end while others are lost.
+func Judge(runs []Run, shared bool) []Verdict {
 	verdicts := make([]Verdict, len(runs))
 	suspects := suspects(runs)
-	alone := sameJob(runs, suspects)
 	for _, i := range suspects {
-		crashes := runs[i].Crashes + 1
-		verdicts[i].Counted = true
-		verdicts[i].GiveUp = crashes >= maxCrashes || (crashes >= minCrashes && alone && runs[i].Fresh())
+		r, crashes := runs[i], runs[i].Crashes+1
+		verdicts[i].Counted = r.Fresh() || !shared
+		certain := r.FreshCrashes+1 >= minFreshCrashes && r.Fresh() && !shared && leads(runs, suspects, i)
+		verdicts[i].GiveUp = verdicts[i].Counted && (certain || (crashes >= maxCrashes && !r.LongRunning))
 	}
 	return verdicts
 }
@@ -107,11 +116,11 @@
 	return append(fresh, others...)
 }
 
-// sameJob reports whether the runs with the given indexes belong to one job. A job is given
-// up as a whole, so it does not matter which of its tasks is to blame.
-func sameJob(runs []Run, indexes []int) bool {
-	for _, i := range indexes {
-		if runs[i].Job != runs[indexes[0]].Job {
+// leads reports whether no suspect of another job may have caused the crash instead of run i. A
+// job is given up as a whole, so it does not matter which of its tasks is to blame.
+func leads(runs []Run, suspects []int, i int) bool {
+	for _, k := range suspects {
+		if runs[k].Job != runs[i].Job && runs[i].Crashes < runs[k].Crashes+clearLead {
 			return false
 		}
 	}
--- a/internal/engine/scheduler/crashes.go
+++ b/internal/engine/scheduler/crashes.go
@@ -14,10 +14,11 @@
 // crashes, which are known once the worker has restarted.
 const lossRetention = time.Minute
 
-// recordLoss records that a worker with runs does not answer any more.
+// recordLoss records that a worker with runs does not answer any more. Workers that have not
+// answered in this term were lost at an unknown time.
 func (t *term) recordLoss(w *worker, at time.Duration) {
-	w.lostAt = at
-	if len(w.runs) > 0 {
+	w.lostAt, w.lostInUpkeep = at, w.inUpkeep
+	if w.reached && len(w.runs) > 0 {
 		t.losses = append(t.losses, t.loss(w))
 	}
 }
@@ -47,16 +48,16 @@
 }
 
 // evidence returns what is known of a run on a worker that has crashed. Without a missed poll
-// the run may have started on the worker's next incarnation; an inherited run had started
-// before this term saw it.
+// the crash was later than crashTime, and an inherited run had started before this term saw
+// it: both only give a lower bound of the age.
 func (w *worker) evidence(r *run) blame.Run {
 	e := blame.Run{Age: w.crashTime() - r.startedAt}
-	e.AgeKnown = r.startedAt != 0 && (w.missedPolls > 0 || e.Age >= 0) && (!r.inherited || e.Age >= blame.FreshAge)
+	e.AgeKnown = r.startedAt != 0 && (e.Age >= blame.FreshAge || (w.missedPolls > 0 && !r.inherited))
 	if r.job != nil {
-		e.Job = r.job.ID
+		e.Job, e.LongRunning = r.job.ID, r.step().LongRunning
 	}
 	if task := r.currentTask(); task != nil {
-		e.Crashes = task.Crashes
+		e.Crashes, e.FreshCrashes = task.Crashes, task.FreshCrashes
 	}
 	return e
 }
@@ -71,32 +72,34 @@
 	}
 	w.crashHandled = true
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return r.phase == runPlanned })
-	shared := blame.SharedLoss(t.loss(w), t.losses)
+	shared := w.reached && blame.SharedLoss(t.loss(w), t.losses)
 	t.metrics.workerCrashes.Inc(1)
 	t.log.Warn("worker has crashed", zap.String("worker", w.key), zap.Int("runs", len(runs)), zap.Bool("others_lost", shared))
 	evidence := make([]blame.Run, len(runs))
 	for i, r := range runs {
 		evidence[i] = w.evidence(r)
 	}
-	verdicts := blame.Judge(evidence)
+	verdicts := blame.Judge(evidence, shared)
 	for i, r := range runs {
-		counted := verdicts[i].Counted && !shared
 		t.log.Warn("a run was on a worker that crashed", zap.Stringer("run", r.name), zap.String("worker", w.key),
 			zap.Duration("age", evidence[i].Age), zap.Bool("age_known", evidence[i].AgeKnown), zap.Int("crashes", evidence[i].Crashes),
-			zap.Bool("counted", counted))
-		if counted {
-			t.countCrash(r, verdicts[i].GiveUp)
+			zap.Bool("counted", verdicts[i].Counted))
+		if verdicts[i].Counted {
+			t.countCrash(r, evidence[i].Fresh(), verdicts[i].GiveUp)
 		}
 	}
 }
 
 // countCrash counts a crash for the run's task.
-func (t *term) countCrash(r *run, giveUp bool) {
+func (t *term) countCrash(r *run, fresh, giveUp bool) {
 	task := r.currentTask()
 	if task == nil {
 		return
 	}
 	task.Crashes++
+	if fresh {
+		task.FreshCrashes++
+	}
 	task.Suspect = true
 	t.suspects[r.job] = true
 	t.markDirty(r.job)
--- a/internal/engine/scheduler/isolation.go
+++ b/internal/engine/scheduler/isolation.go
@@ -3,8 +3,13 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/daisyfold/daisyfold/internal/engine/blame"
 )
 
+// maxIsolationWait is how long a suspect waits for a worker on which all other runs are proven.
+const maxIsolationWait = blame.FreshAge + replanInterval
+
 // Isolation of suspects: a task that may have crashed its worker starts again on a worker
 // without other runs, if there is one. If that worker crashes as well, no other task comes
 // into question, and no other run is lost.
@@ -56,7 +61,11 @@
 	}
 	avoid := union(q.job.avoidedWorkers(p.slowWorkers), isolated)
 	if q.job.hasSuspects(q.step) {
-		return []map[string]bool{union(avoid, t.workersInUse(q.job, nil)), union(isolated, t.workersInUse(q.job, &p.now)), isolated}
+		sets := []map[string]bool{union(avoid, t.workersInUse(q.job, nil)), union(isolated, t.workersInUse(q.job, &p.now))}
+		if p.now-q.job.waitingSince[q.step] > maxIsolationWait {
+			sets = append(sets, isolated)
+		}
+		return sets
 	}
 	if len(avoid) == len(isolated) {
 		return []map[string]bool{isolated}
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -128,9 +128,14 @@
 	}
 }
 
-// announcedLeave reports whether the worker is expected to end its runs: it is draining, or
-// its machine is in upkeep.
-func (w *worker) announcedLeave() bool { return w.entry.Draining || w.inUpkeep }
+// announcedLeave reports whether the worker was expected to end its runs: it is draining, or
+// its machine's upkeep began before the worker was lost.
+func (w *worker) announcedLeave() bool {
+	if w.missedPolls > 0 {
+		return w.entry.Draining || w.lostInUpkeep
+	}
+	return w.entry.Draining || w.inUpkeep
+}
 
 // checkWorkers sends the orders that are due and ends lapsed runs, for all workers.
 func (t *term) checkWorkers(now time.Duration) {
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -190,6 +190,7 @@
 	nextPollAt   time.Duration // when the next poll is due
 	missedPolls  int           // consecutive polls without an answer
 	lostAt       time.Duration // when the first of them failed
+	lostInUpkeep bool          // inUpkeep was set at lostAt
 	crashHandled bool          // handleCrash was called
 }
 
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -55,6 +55,7 @@
 	t.updateWaves()
 	t.inheritJobs(runs)
 	t.metrics.takeovers.Inc(1)
+	t.replaceInheritedIncarnations()
 	t.log.Info("took over", zap.Int("jobs", len(t.jobs)), zap.Int("workers", len(t.workers)),
 		zap.Duration("took", t.Now()-t.began))
 	t.needsPlanning = true
@@ -153,6 +154,17 @@
 }
 
 // addUnlistedWorker adds a worker that is not listed but may still have runs.
+// replaceInheritedIncarnations ends the runs that are recorded on an incarnation of a worker
+// that a later one has replaced.
+func (t *term) replaceInheritedIncarnations() {
+	for key, w := range t.workers {
+		later := t.workers[t.latestKeys[work.WorkerID(key)]]
+		if later != nil && later != w && work.WorkerStartMS(key) < later.entry.StartMS {
+			t.replaceIncarnation(key, later)
+		}
+	}
+}
+
 func (t *term) addUnlistedWorker(key string) *worker {
 	w := &worker{key: key, runs: map[work.RunName]*run{}}
 	t.workers[key] = w
--- a/internal/engine/work/name.go
+++ b/internal/engine/work/name.go
@@ -64,5 +64,15 @@
 // WorkerID returns the worker id that a key contains.
 func WorkerID(key string) string { return key[:max(strings.LastIndex(key, incarnationSeparator), 0)] }
 
+// WorkerStartMS returns the start time of the incarnation that a key contains, in Unix
+// milliseconds, or 0 if it has none.
+func WorkerStartMS(key string) int64 {
+	ms, err := strconv.ParseInt(key[strings.LastIndex(key, incarnationSeparator)+1:], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return ms
+}
+
 // incarnationSeparator separates the id of a worker from its start time in a key.
 const incarnationSeparator = "@"
--- a/internal/engine/work/state.go
+++ b/internal/engine/work/state.go
@@ -43,10 +43,11 @@
 	// StepState.
 	Failures   int    `json:"f,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
-	// Crashes counts the workers that the task may have crashed. Suspect is set until a run of
-	// the task has shown that it does not.
-	Crashes int  `json:"x,omitempty"`
-	Suspect bool `json:"u,omitempty"`
+	// Crashes counts the workers that the task may have crashed, FreshCrashes those that crashed
+	// right after its start. Suspect is set until a run of the task has shown that it does not.
+	Crashes      int  `json:"x,omitempty"`
+	FreshCrashes int  `json:"y,omitempty"`
+	Suspect      bool `json:"u,omitempty"`
 }
 
 // StepState is the state of one step.
