Rely on a worker's capacity only as far as its entry is current

Callers would see: a task started on a worker that no longer has room for it (LIMIT). Cause: the capacity came from the worker's entry whatever its age. After an outage of the store the entry shows the capacity before it until the worker's next heartbeat, and a new incarnation started with the entry of the former one. A task that needs none of an exhausted resource was started on an overcommitted worker. Change: a worker gets new runs while its entry is at most three heartbeats old, by a lower bound of the time of writing; after a takeover soon after an outage, only once it has written again. No task is placed on an overcommitted worker.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -22,6 +22,9 @@
 	// LatencySensitiveTasks and BestEffortTasks count tasks of the two kinds, which must
 	// not share a worker.
 	LatencySensitiveTasks, BestEffortTasks int
+	// Overcommitted reports whether the tasks on the worker exceed its capacity, because it
+	// was reduced. It gets no task, not even one that needs none of the resource in question.
+	Overcommitted bool
 	// Slower reports whether tasks take longer on the worker than on others.
 	Slower bool
 }
@@ -59,6 +62,9 @@
 	if req.AvoidSlower && n.Slower {
 		return 0
 	}
+	if n.Overcommitted && !(work.Resources{}).Fits(available) {
+		return 0
+	}
 	if req.Allowed != nil && !req.Allowed[n.Key] {
 		return 0
 	}
--- a/internal/engine/plan/plan_test.go
+++ b/internal/engine/plan/plan_test.go
@@ -158,3 +158,17 @@
 		t.Errorf("%d tasks are placed although the faster workers are full", len(got))
 	}
 }
+
+// TestOvercommittedWorkerGetsNoTask guards against a task without accelerators on a worker whose accelerators were reduced below those in use.
+func TestOvercommittedWorkerGetsNoTask(t *testing.T) {
+	n := &Node{Key: "a", Capacity: work.Resources{CPU: 8000, MemoryMB: 8000, Accelerators: 1}, Free: work.Resources{CPU: 4000, MemoryMB: 4000, Accelerators: -3}, Overcommitted: true}
+	s := &Snapshot{Nodes: []*Node{n}}
+	filler := &Request{Step: &work.Step{Tasks: 1, Demand: work.Resources{MemoryMB: 100}, BestEffort: true}, Tasks: 1}
+	if nodes := s.Place(filler); len(nodes) != 0 {
+		t.Errorf("placed on %d overcommitted workers", len(nodes))
+	}
+	n.Free, n.Overcommitted = work.Resources{CPU: 4000, MemoryMB: 4000}, false
+	if nodes := s.Place(filler); len(nodes) != 1 {
+		t.Errorf("placed on %d workers with room, want 1", len(nodes))
+	}
+}
--- a/internal/engine/replica/follower.go
+++ b/internal/engine/replica/follower.go
@@ -74,6 +74,9 @@
 	loadedOffsets   map[string]int64
 	maxLoadedOffset int64 // highest offset in loadedOffsets
 	readFailing     bool  // the last read failed
+	// gap is the longest time without a successful read among those that ended recently; it
+	// ended at gapEnd. lastReadAt is when the last successful read ended.
+	gap, gapEnd, lastReadAt time.Duration
 	// throttleDelay is added to the read interval after refused reads.
 	throttleDelay time.Duration
 	synced        chan struct{} // closed and replaced whenever syncedAt advances
@@ -95,6 +98,28 @@
 	return f.Now() - f.syncedAt, true
 }
 
+// recordRead records a successful read.
+func (f *Follower) recordRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	if gap := now - f.lastReadAt; f.lastReadAt != 0 && (gap >= f.gap || now-f.gapEnd > f.gap) {
+		f.gap, f.gapEnd = gap, now
+	}
+	f.lastReadAt = now
+}
+
+// LastGap returns the length of the last long time without a successful read, and when it
+// ended. A time that has not ended counts up to now.
+func (f *Follower) LastGap() (length, end time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := f.Now(); f.lastReadAt != 0 && now-f.lastReadAt > f.gap {
+		return now - f.lastReadAt, now
+	}
+	return f.gap, f.gapEnd
+}
+
 // Run copies the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	if f.StartDelay > 0 {
@@ -112,6 +137,7 @@
 			continue
 		}
 		failures = 0
+		f.recordRead()
 		f.logAvailability(nil)
 		if f.MinReadInterval == nil {
 			continue
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -313,7 +313,7 @@
 
 // usable reports whether the worker may get new runs.
 func (t *term) usable(w *worker, now time.Duration) bool {
-	return w.listed && !w.dead && w.reached && w.missedPolls == 0 && !w.entry.Draining && !w.inUpkeep &&
+	return w.listed && !w.dead && w.reached && w.missedPolls == 0 && !w.entry.Draining && !w.inUpkeep && t.hasCurrentEntry(w, now) &&
 		!t.zonesOut[w.entry.Zone] && now >= w.backoffUntil && now-w.answeredAt < maxAnswerAge
 }
 
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -147,6 +147,9 @@
 type worker struct {
 	entry workers.Entry
 	key   string
+	// entryWrittenAfter is a lower bound of the time when the entry was written; 0 if it is not
+	// known, or if the worker itself has not written an entry yet.
+	entryWrittenAfter time.Duration
 	// listed reports whether the platform's list contains the entry.
 	listed bool
 	// dead reports whether the worker is known to run nothing, because it has stopped or
@@ -250,6 +253,7 @@
 	n := &plan.Node{
 		Key: w.key, Rack: w.entry.Rack, Labels: w.entry.Labels,
 		Capacity: w.entry.Capacity, Free: w.entry.Capacity.Minus(w.used), Slower: w.speed.isSlower(),
+		Overcommitted: !w.used.Fits(w.entry.Capacity),
 	}
 	for _, r := range w.runs {
 		if r.job != nil && r.step().LatencySensitive {
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -49,13 +49,14 @@
 	}
 	// The former owner may have joined the group just before it lost ownership.
 	t.formerLeasesEnd = t.Now() + t.Elector.TTL + leaseRenewalGrace + t.maxLeaseDuration()
+	t.entriesWrittenAfter = t.oldestEntry()
 	newWorkerList(t).Reset(list)
 	t.drainEvents()
 	t.zonesOut = t.Operator.ZonesOut()
 	t.updateWaves()
 	t.inheritJobs(runs)
-	t.metrics.takeovers.Inc(1)
 	t.replaceInheritedIncarnations()
+	t.metrics.takeovers.Inc(1)
 	t.log.Info("took over", zap.Int("jobs", len(t.jobs)), zap.Int("workers", len(t.workers)),
 		zap.Duration("took", t.Now()-t.began))
 	t.needsPlanning = true
@@ -153,7 +154,6 @@
 	}
 }
 
-// addUnlistedWorker adds a worker that is not listed but may still have runs.
 // replaceInheritedIncarnations ends the runs that are recorded on an incarnation of a worker
 // that a later one has replaced.
 func (t *term) replaceInheritedIncarnations() {
@@ -165,6 +165,7 @@
 	}
 }
 
+// addUnlistedWorker adds a worker that is not listed but may still have runs.
 func (t *term) addUnlistedWorker(key string) *worker {
 	w := &worker{key: key, runs: map[work.RunName]*run{}}
 	t.workers[key] = w
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -54,6 +54,8 @@
 	// formerLeasesEnd is when every lease that a former owner requested has lapsed.
 	formerLeasesEnd time.Duration
 	endErr          error // why the term ended
+	// entriesWrittenAfter is oldestEntry at the takeover.
+	entriesWrittenAfter time.Duration
 	// losses are recent losses of workers with runs. suspects are the jobs with tasks that may
 	// have crashed a worker.
 	losses   []blame.Loss
--- a/internal/engine/scheduler/worker_list.go
+++ b/internal/engine/scheduler/worker_list.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,7 +37,29 @@
 }
 
 func newWorkerList(t *term) *workerList {
-	return &workerList{t: t, entries: map[string]*workers.Entry{}, writtenAfter: map[string]time.Duration{}}
+	return &workerList{t: t, entries: map[string]*workers.Entry{}, writtenAfter: map[string]time.Duration{}, appliedAt: t.entriesWrittenAfter}
+}
+
+// maxEntryHeartbeats is the age of a worker's entry, in heartbeat intervals, up to which the
+// worker gets new runs. The platform removes an entry that is older, but not while its store
+// is unavailable; the worker's capacity may have changed since.
+const maxEntryHeartbeats = 3
+
+// hasCurrentEntry reports whether the worker's entry is young enough to rely on its capacity.
+func (t *term) hasCurrentEntry(w *worker, now time.Duration) bool {
+	return now-w.entryWrittenAfter <= maxEntryHeartbeats*t.bounds.WorkerHeartbeatInterval
+}
+
+// oldestEntry returns a lower bound of the time when the entries that the store holds now were
+// written, or 0 if there is none, because the store was unavailable until a moment ago and
+// workers have not renewed their entries since.
+func (t *term) oldestEntry() time.Duration {
+	now, interval := t.Now(), t.bounds.WorkerHeartbeatInterval
+	gap, end := t.Statuses.LastGap()
+	if gap > (maxEntryHeartbeats-1)*interval && now-end < maxEntryHeartbeats*interval {
+		return 0
+	}
+	return now
 }
 
 // followWorkers keeps the list of workers current until the term ends.
@@ -49,8 +72,13 @@
 
 // Reset implements replica.Sink.
 func (l *workerList) Reset(records []store.Record) {
-	clear(l.entries)
-	clear(l.writtenAfter)
+	entries, writtenAfter := l.entries, l.writtenAfter
+	l.entries, l.writtenAfter = map[string]*workers.Entry{}, map[string]time.Duration{}
+	for _, r := range records {
+		if e := entries[r.Key]; e != nil {
+			l.entries[r.Key], l.writtenAfter[r.Key] = e, writtenAfter[r.Key]
+		}
+	}
 	l.applyRecords(records)
 }
 
@@ -75,14 +103,23 @@
 			delete(l.entries, r.Key)
 			continue
 		}
-		l.entries[r.Key], l.writtenAfter[r.Key] = e, before
+		if former := l.entries[r.Key]; former == nil || former.Key() != e.Key() || former.ClockMS != e.ClockMS || e.ClockMS == 0 {
+			l.writtenAfter[r.Key] = before
+		}
+		l.entries[r.Key] = e
 	}
 	list := make([]*workers.Entry, 0, len(l.entries))
 	for _, e := range l.entries {
 		list = append(list, e)
 	}
+	writtenAfter := maps.Clone(l.writtenAfter)
 	l.t.post(func(t *term) {
 		t.updateWorkers(list)
+		for _, e := range list {
+			if w := t.workers[e.Key()]; w != nil {
+				w.entryWrittenAfter = max(w.entryWrittenAfter, writtenAfter[e.ID])
+			}
+		}
 		for _, key := range shutDown {
 			t.handleShutdown(key)
 		}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -35,6 +35,8 @@
 	// several.
 	CrossRackSlowdown float64
 	Seed              uint64
+	// StaleEntries keeps the entries of workers unchanged while the store is unavailable.
+	StaleEntries bool
 	// NewIDAfterCrash gives workers a new id when they restart after a crash that a task
 	// caused.
 	NewIDAfterCrash bool
@@ -149,6 +151,42 @@
 	stalled         bool          // new runs make no progress
 	// slowdown is the factor by which new runs take longer; 0 means 1.
 	slowdown float64
+	// formerCapacities are the capacities before each change.
+	formerCapacities []formerCapacity
+}
+
+// formerCapacity is a capacity of a worker and when it ended.
+type formerCapacity struct {
+	work.Resources
+	until time.Time
+}
+
+// SetCapacity changes the worker's capacity. Its entry shows the change from the next
+// heartbeat on.
+func (w *Worker) SetCapacity(capacity work.Resources) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{w.entry.Capacity, time.Now()})
+	w.entry.Capacity = capacity
+}
+
+// capacityNoticeTime is how long after a reduction the former capacity may still be used, in
+// addition to a heartbeat interval.
+const capacityNoticeTime = 3 * time.Second
+
+// permittedCapacity returns the largest capacity that a scheduler may assume. The caller holds
+// the lock.
+func (w *Worker) permittedCapacity() work.Resources {
+	permitted := w.entry.Capacity
+	for _, f := range w.formerCapacities {
+		if time.Since(f.until) <= capacityNoticeTime+w.fleet.HeartbeatInterval {
+			permitted = work.Resources{
+				CPU: max(permitted.CPU, f.CPU), MemoryMB: max(permitted.MemoryMB, f.MemoryMB),
+				Accelerators: max(permitted.Accelerators, f.Accelerators),
+			}
+		}
+	}
+	return permitted
 }
 
 // SetFailing sets whether all runs that start on the worker fail.
@@ -214,6 +252,9 @@
 
 // publishEntry appends the worker's entry to TopicWorkers.
 func (w *Worker) publishEntry() {
+	if w.fleet.StaleEntries && w.fleet.store.unavailable() {
+		return
+	}
 	e := w.entry
 	e.ClockMS = w.clockMS()
 	encode := w.fleet.EncodeEntry
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -137,6 +137,13 @@
 	s.topic(name).append(records)
 }
 
+// unavailable reports whether the store answers nobody.
+func (s *Store) unavailable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.globalFaults.Down || s.globalFaults.Refuse
+}
+
 // Newest returns the newest record of a key and whether there is one.
 func (s *Store) Newest(name, key string) (store.Record, bool) {
 	s.mu.Lock()
