End runs on incarnations that were replaced after their entry was removed

A worker crashed again right after its restart, and the platform removed its entry before the next owner took over. That owner knew the incarnation from the state record only, with no link to the one that was listed later, and waited 8.9 s for the lease; the crash was not counted. Change: incarnations that only records name are kept by worker id, and a later incarnation replaces them whenever it is listed.

--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -79,6 +79,7 @@
 		t.replaceIncarnation(older, w)
 	}
 	t.latestKeys[e.ID] = key
+	t.replaceUnlisted(w)
 }
 
 // isOldIncarnation reports whether the entry belongs to an incarnation that a later one
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -55,7 +55,9 @@
 	t.zonesOut = t.Operator.ZonesOut()
 	t.updateWaves()
 	t.inheritJobs(runs)
-	t.replaceInheritedIncarnations()
+	for _, key := range t.latestKeys {
+		t.replaceUnlisted(t.workers[key])
+	}
 	t.metrics.takeovers.Inc(1)
 	t.log.Info("took over", zap.Int("jobs", len(t.jobs)), zap.Int("workers", len(t.workers)),
 		zap.Duration("took", t.Now()-t.began))
@@ -154,13 +156,12 @@
 	}
 }
 
-// replaceInheritedIncarnations ends the runs that are recorded on an incarnation of a worker
-// that a later one has replaced.
-func (t *term) replaceInheritedIncarnations() {
-	for key, w := range t.workers {
-		later := t.workers[t.latestKeys[work.WorkerID(key)]]
-		if later != nil && later != w && work.WorkerStartMS(key) < later.entry.StartMS {
-			t.replaceIncarnation(key, later)
+// replaceUnlisted ends the runs that a former owner recorded on an earlier incarnation of the
+// worker.
+func (t *term) replaceUnlisted(w *worker) {
+	for _, key := range t.unlistedKeys[w.entry.ID] {
+		if work.WorkerStartMS(key) < w.entry.StartMS {
+			t.replaceIncarnation(key, w)
 		}
 	}
 }
@@ -169,6 +170,8 @@
 func (t *term) addUnlistedWorker(key string) *worker {
 	w := &worker{key: key, runs: map[work.RunName]*run{}}
 	t.workers[key] = w
+	id := work.WorkerID(key)
+	t.unlistedKeys[id] = append(t.unlistedKeys[id], key)
 	return w
 }
 
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -50,7 +50,10 @@
 	jobs       map[string]*job
 	workers    map[string]*worker // by worker key
 	latestKeys map[string]string  // worker id to the key of its latest incarnation
-	zonesOut   map[string]bool
+	// unlistedKeys holds the keys of workers that were not listed at the takeover but have
+	// recorded runs, by worker id.
+	unlistedKeys map[string][]string
+	zonesOut     map[string]bool
 	// formerLeasesEnd is when every lease that a former owner requested has lapsed.
 	formerLeasesEnd time.Duration
 	endErr          error // why the term ended
@@ -87,7 +90,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		suspects: map[*job]bool{},
+		suspects: map[*job]bool{}, unlistedKeys: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
