Review: tasks that are done run again when ends exceed a page

An executor lists 500 ends at a time. Runs whose ends come later in the list are taken for runs that never arrived, and their tasks are started again.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,6 +21,7 @@
 // cases are the scripts of the review. Each returns whether the rule was broken.
 var cases = map[string]func(r *Record, trouble bool) bool{
 	"record": recordCase,
+	"ends":   endsCase,
 }
 
 func main() {
