Review: lost starts of tasks that last are never repeated

Two starts of a step with mayMiss 1 that are lost in a cut lock each other: each stop waits until the other task is in service.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(r *Record, trouble bool) bool{
 	"record": recordCase,
 	"ends":   endsCase,
+	"cut":    cutCase,
 }
 
 func main() {
