--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,9 +20,10 @@
 
 // cases are the scripts of the review. Each returns whether the rule was broken.
 var cases = map[string]func(r *Record, trouble bool) bool{
-	"record": recordCase,
-	"ends":   endsCase,
-	"cut":    cutCase,
+	"record":  recordCase,
+	"ends":    endsCase,
+	"cut":     cutCase,
+	"reserve": reserveCase,
 }
 
 func main() {
