--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -194,7 +194,8 @@
 `
 
 // newCluster starts the store, the executors and the processes, and waits until all are ready.
-func newCluster(r *Record, hosts, workers int) *Cluster {
+// The first executors, as many as kindB says, are of kind "b", the others of kind "a".
+func newCluster(r *Record, hosts, workers, kindB int) *Cluster {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		r.cannot("temporary folder: %v", err)
@@ -210,7 +211,11 @@
 	go func() { _ = c.store1.Serve(l) }()
 	c.fleet = newFleet(c.store, r, serviceName)
 	for i := range workers {
-		c.fleet.add(fmt.Sprintf("i-7f3a91%02x", i), "a", fmt.Sprintf("r1-%d", i/6), zones[i%len(zones)], 128000, 524288, 8)
+		kind := "a"
+		if i < kindB {
+			kind = "b"
+		}
+		c.fleet.add(fmt.Sprintf("i-7f3a91%02x", i), kind, fmt.Sprintf("r1-%d", i/6), zones[i%len(zones)], 128000, 524288, 8)
 	}
 	c.ports = []int{freePort(r), freePort(r)}
 	net2, net3 := randomByte(), randomByte()
--- a/review/_standin/ends_case.go
+++ b/review/_standin/ends_case.go
@@ -4,7 +4,7 @@
 
 // endsCase: more than 500 tasks end on one executor while the store is slow.
 func endsCase(r *Record, trouble bool) bool {
-	c := newCluster(r, 3, 12)
+	c := newCluster(r, 3, 12, 0)
 	c.sanity(apiKey)
 	end := time.Now().Add(6 * time.Second)
 	var jobs []*Job
--- a/review/_standin/gang_case.go
+++ b/review/_standin/gang_case.go
@@ -4,7 +4,7 @@
 
 // gangCase: four of 48 executors fail all that they start.
 func gangCase(r *Record, trouble bool) bool {
-	c := newCluster(r, 3, 48)
+	c := newCluster(r, 3, 48, 0)
 	c.fleet.verbose = true
 	c.sanity(apiKey)
 	if trouble {
--- a/review/_standin/record_case.go
+++ b/review/_standin/record_case.go
@@ -7,7 +7,7 @@
 
 // recordCase: the state of one large job grows beyond a record of the store.
 func recordCase(r *Record, trouble bool) bool {
-	c := newCluster(r, 3, 12)
+	c := newCluster(r, 3, 12, 0)
 	c.sanity(otherKey)
 	repeats, parts := 6, 1
 	if !trouble {
--- a/review/_standin/reserve_case.go
+++ b/review/_standin/reserve_case.go
@@ -4,7 +4,7 @@
 
 // reserveCase: a gang that can't be placed waits while a task that lasts has room.
 func reserveCase(r *Record, trouble bool) bool {
-	c := newCluster(r, 3, 12)
+	c := newCluster(r, 3, 12, 0)
 	c.fleet.verbose = true
 	c.sanity(apiKey)
 	lasting := newJob(queues[1], Step{Count: 12, CPU: 8000, MemMb: 8192, GPU: 5, EstMs: 1000, AntiAffinity: 1, LongRunning: true})
