Review: executors rest while tasks that last wait

After six failed runs in a row an executor gets nothing new for 30 s, whoever's tasks failed. A task that lasts waits that long although all executors are idle.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -24,7 +24,7 @@
 	"ends":    endsCase,
 	"cut":     cutCase,
 	"reserve": reserveCase,
-	"gang":    gangCase,
+	"backoff": backoffCase,
 }
 
 func main() {
