Review: tasks that crash executors before they answer are never counted

Two such tasks excuse each other's crashes and are started every 3 s for a minute and longer. It takes the place of the waiting gang.

--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -121,8 +121,13 @@
 	attempt map[taskName]map[string]int // ends of a task by kind
 	noted   map[taskName]time.Time      // when a task ended done, if that was taken note of before the lease lapsed
 	again   map[taskName]time.Time      // starts of tasks after they ended done
+	// starts and crashed count a task's starts and the executors that crashed under it;
+	// afterThree counts the starts after the third crash.
+	starts, crashed, afterThree map[taskName]int
 	// failAfter returns after which time of work a run fails; 0 means that it doesn't.
 	failAfter func(*run) time.Duration
+	// crashes reports whether a run crashes its executor, which then doesn't answer the start.
+	crashes func(*run) bool
 	// verbose records each start and end.
 	verbose bool
 	closed  bool
@@ -130,7 +135,8 @@
 
 func newFleet(s *Store, r *Record, service string) *Fleet {
 	return &Fleet{store: s, record: r, service: service, jobs: map[string]*Job{}, gangs: map[string]map[int]*run{},
-		done: map[taskName]bool{}, noted: map[taskName]time.Time{}, again: map[taskName]time.Time{}, attempt: map[taskName]map[string]int{}, failAfter: func(*run) time.Duration { return 0 }}
+		done: map[taskName]bool{}, noted: map[taskName]time.Time{}, again: map[taskName]time.Time{}, attempt: map[taskName]map[string]int{}, failAfter: func(*run) time.Duration { return 0 }, crashes: func(*run) bool { return false },
+		starts: map[taskName]int{}, crashed: map[taskName]int{}, afterThree: map[taskName]int{}}
 }
 
 func (f *Fleet) add(id, kind, rack, zone string, cpu, mem, gpu int) *Worker {
@@ -267,11 +273,30 @@
 		}
 		answer["clockMs"] = w.clock()
 		w.f.mu.Unlock()
+		if status == statusCrash {
+			go w.crashFor(crashTime)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		w.pass(r)
 		reply(rw, status, answer)
 	}
 }
 
+// statusCrash is the result of an order that crashes the executor.
+const statusCrash = -1
+
+// crashTime is how long an executor is away after a crash.
+const crashTime = 3 * time.Second
+
+// crashFor crashes the executor and starts it again after d.
+func (w *Worker) crashFor(d time.Duration) {
+	w.f.record.write("%s crashes", w.id)
+	w.crash()
+	time.Sleep(d)
+	w.restart()
+}
+
 func (w *Worker) check(r *http.Request, o order) (int, fields) {
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.id {
 		return http.StatusMisdirectedRequest, fields{}
@@ -334,9 +359,17 @@
 	if w.f.done[task] {
 		w.f.again[task] = time.Now()
 	}
+	w.f.starts[task]++
+	if w.f.crashed[task] >= 3 {
+		w.f.afterThree[task]++
+	}
 	if w.f.verbose {
 		w.f.record.write("%s run %d starts on %s", task, o.Run, w.id)
 	}
+	if w.f.crashes(r) {
+		w.f.crashed[task]++
+		return statusCrash, fields{}
+	}
 	var ms int64
 	if _, err := fmt.Sscanf(o.Checkpoint, "%08x", &ms); err == nil {
 		r.progress = time.Duration(ms) * time.Millisecond
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -23,8 +23,8 @@
 	"record":  recordCase,
 	"ends":    endsCase,
 	"cut":     cutCase,
-	"reserve": reserveCase,
 	"backoff": backoffCase,
+	"deadly":  deadlyCase,
 }
 
 func main() {
