End the epoch with its term, and repeat failed calls of a takeover

Callers saw accepted jobs as running for good, although all their tasks were done. Cause: a takeover that was refused one read, or lost one answer, ended the term, and 200 ms later another term began in the same epoch. Its appends to the statuses had the sequence numbers of the first one; the store takes an append with one of the last five sequence numbers for a repetition, answers it as done and drops the records. A status that was dropped is never written again in the term. Change: failed calls of a takeover are repeated until its time limit, and each term ends its epoch, so that a sequence number has one meaning. The stand-in can refuse a load after some time. One refusal ("try later") of a read in a takeover is enough; the stores of the users' pages give such answers without any fault.

--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -83,11 +83,9 @@
 // SetBounds replaces the bounds. A running term keeps those that it started with.
 func (s *Scheduler) SetBounds(b Bounds) { s.bounds.Store(&b) }
 
-// termRetryDelay is the delay before the next term if one ended without being fenced, for
-// example because the store did not answer during the takeover.
-const termRetryDelay = 200 * time.Millisecond
-
-// Run waits for ownership and runs terms until the context ends.
+// Run waits for ownership and runs terms until the context ends. Each term ends its epoch:
+// another term would repeat sequence numbers of the epoch, and the store would drop the
+// repeated appends.
 func (s *Scheduler) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		epoch := s.Elector.Epoch()
@@ -105,16 +103,9 @@
 			// The next term starts from the store, on another host if there is one.
 			s.Logger.Error("the scheduler failed unexpectedly", zap.Int64("epoch", epoch), zap.String("stack", panicErr.Stack))
 			s.metrics.panics.Inc(1)
-			s.Elector.MarkFenced(epoch)
-			continue
 		}
-		if errors.Is(err, store.ErrFenced) || errors.Is(err, workers.ErrFenced) {
+		if ctx.Err() == nil {
 			s.Elector.MarkFenced(epoch)
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(termRetryDelay):
 		}
 	}
 	return ctx.Err()
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -18,6 +17,8 @@
 	// takeOverTimeout limits the reads of a takeover, because ownership may have moved on
 	// in the meantime.
 	takeOverTimeout = 3 * time.Second
+	// takeOverRetryDelay is the delay before a failed call of a takeover is repeated.
+	takeOverRetryDelay = 50 * time.Millisecond
 )
 
 // takeOver fences former owners, reads what they recorded, and adds their runs to the
@@ -32,15 +33,16 @@
 	t.spawn(t.runPublisher)
 	var list, runs []store.Record
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return t.Statuses.Sync(ctx) })
-	group.Go(func() error { return t.Submissions.Sync(ctx) })
-	group.Go(func() error {
-		var err error
+	read := func(f func() error) {
+		group.Go(func() error { return t.repeatInTakeover(ctx, f) })
+	}
+	read(func() error { return t.Statuses.Sync(ctx) })
+	read(func() error { return t.Submissions.Sync(ctx) })
+	read(func() (err error) {
 		runs, _, err = t.Store.Newest(ctx, replica.TopicRuns)
 		return err
 	})
-	group.Go(func() error {
-		var err error
+	read(func() (err error) {
 		list, _, err = t.Store.Newest(ctx, t.WorkerTopic)
 		return err
 	})
@@ -65,6 +67,22 @@
 	return nil
 }
 
+// repeatInTakeover calls f until it succeeds, a later owner was seen, or the context ends.
+func (t *term) repeatInTakeover(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		var sequenceErr *store.SequenceError
+		if err == nil || errors.Is(err, store.ErrFenced) || errors.As(err, &sequenceErr) || ctx.Err() != nil {
+			return err
+		}
+		t.log.Warn("a call of the takeover failed; repeating it", zap.Error(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(takeOverRetryDelay):
+		}
+	}
+}
+
 // fenceFormerOwners prevents former owners from writing to the scheduler's topics, and
 // writes this owner's first heartbeat: hosts would take a new owner for silent if they had
 // to wait for it until the takeover is complete.
@@ -73,13 +91,10 @@
 	fence := func(w *topicWriter, records ...store.Record) {
 		position := w.nextPosition(t.epoch)
 		group.Go(func() error {
-			_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
-			var sequenceErr *store.SequenceError
-			if errors.As(err, &sequenceErr) {
-				// An earlier term in this epoch has written already, so the epoch is used up.
-				return trace.Wrap(store.ErrFenced)
-			}
-			return err
+			return t.repeatInTakeover(ctx, func() error {
+				_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
+				return err
+			})
 		})
 	}
 	fence(&t.runWriter)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -51,13 +51,16 @@
 	groups       map[string]*group
 	globalFaults StoreFaults
 	hostFaults   map[string]StoreFaults
+	// slowRefusals holds, by topic, how long the next call of Newest takes before it is
+	// refused.
+	slowRefusals map[string]time.Duration
 }
 
 // NewStore returns an empty store. The seed determines which writes are late or lost.
 func NewStore(seed uint64) *Store {
 	return &Store{
 		rng: rand.New(rand.NewPCG(seed, 1)), topics: map[string]*topic{},
-		groups: map[string]*group{}, hostFaults: map[string]StoreFaults{},
+		groups: map[string]*group{}, hostFaults: map[string]StoreFaults{}, slowRefusals: map[string]time.Duration{},
 	}
 }
 
@@ -120,6 +123,14 @@
 	s.hostFaults[host] = f
 }
 
+// RefuseNextLoad makes the store refuse the next call of Newest for the topic, after the
+// given time.
+func (s *Store) RefuseNextLoad(name string, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowRefusals[name] = after
+}
+
 // Compact deletes the history of a topic. The newest record of each key remains
 // available through Newest.
 func (s *Store) Compact(name string) {
@@ -326,6 +337,16 @@
 		return nil, 0, err
 	}
 	c.mu.Lock()
+	after, refuse := c.slowRefusals[name]
+	delete(c.slowRefusals, name)
+	c.mu.Unlock()
+	if refuse {
+		if err := sleep(ctx, after); err != nil {
+			return nil, 0, err
+		}
+		return nil, 0, trace.Wrap(store.ErrRefused)
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topic(name)
 	var records []store.Record
