--- a/internal/engine/faults_test.go
+++ b/internal/engine/faults_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/daisyfold/daisyfold/internal/engine/intake"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
@@ -218,6 +220,37 @@
 	})
 }
 
+// TestCallsAreAnsweredInTimeWithoutStore guards against calls that wait one after the other for
+// a silent store, until long after their callers have given up.
+func TestCallsAreAnsweredInTimeWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 1})
+		defer c.close()
+		h := c.anyHost()
+		c.store.SetFaults(standin.StoreFaults{Down: true})
+		const unknownJob = "00000000000000ff"
+		call := newCall("/normal/" + unknownJob)
+		calls := map[string]func() intake.Answer{
+			"status":       func() intake.Answer { return h.Intake.Status(t.Context(), call, unknownJob) },
+			"cancellation": func() intake.Answer { return h.Intake.Cancel(t.Context(), call, unknownJob) },
+		}
+		var wg sync.WaitGroup
+		for name, f := range calls {
+			for range 20 {
+				wg.Go(func() {
+					began := time.Now()
+					a := f()
+					if took := time.Since(began); a.Outcome != intake.TryLater || took > callerTimeout {
+						t.Errorf("a %s returned %s after %s", name, a.Outcome, took)
+					}
+				})
+			}
+		}
+		wg.Wait()
+		c.store.SetFaults(standin.StoreFaults{})
+	})
+}
+
 // TestShortNoticeSavesProgress guards against work that is lost, and against a job that
 // waits until a lease expires, when a worker is removed at short notice.
 func TestShortNoticeSavesProgress(t *testing.T) {
