Stop runs that are missing on their workers whatever maxUnavailable says

Long-running tasks whose starts were lost in a cut were never started again, up to whole jobs. Cause: a start without an answer is stopped before its task is placed again, and the stop was withheld while more than MaxUnavailable tasks of the step are out of service. The lost tasks themselves are; more than MaxUnavailable of them blocked each other for good. Change: the stop of a run that its worker's report does not contain is never withheld. It takes nothing out of service.

--- a/internal/engine/job_kinds_test.go
+++ b/internal/engine/job_kinds_test.go
@@ -97,6 +97,31 @@
 	})
 }
 
+// TestLostStartsDoNotBlockEachOther guards against long-running tasks that are never started
+// again because more starts were lost than their step's MaxUnavailable.
+func TestLostStartsDoNotBlockEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		setUnreachable := func(unreachable bool) {
+			for host := range c.hosts {
+				for _, worker := range []string{"w00", "w01", "w02"} {
+					c.fleet.SetUnreachable(host, worker, unreachable)
+				}
+			}
+		}
+		setUnreachable(true)
+		serving := newJob(1, work.Step{Tasks: 12, Demand: largeTask, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+		c.submit("normal", serving, standin.Behaviour{})
+		time.Sleep(5500 * time.Millisecond)
+		setUnreachable(false)
+		time.Sleep(6 * time.Second)
+		if n := len(c.activeRuns(serving)); n != 12 {
+			t.Errorf("%d of 12 tasks run 6 s after the workers can be reached again", n)
+		}
+	})
+}
+
 // TestBestEffortAvoidsLatencySensitive guards against best-effort tasks on the same worker
 // as latency-sensitive tasks, whichever are submitted first. The ledger checks for the
 // violation HARM.
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -199,9 +199,10 @@
 
 // exceedsMaxUnavailable reports whether the stop of a long-running task would leave too few
 // tasks of its step in service. That can change between the decision to stop the task and
-// the sending or repeating of the stop. A draining worker ends its runs in any case.
+// the sending or repeating of the stop. A draining worker ends its runs in any case, and the
+// stop of a run that is not on its worker takes nothing out of service.
 func (r *run) exceedsMaxUnavailable() bool {
-	if r.currentTask() == nil || r.step().MaxUnavailable == 0 || r.worker.entry.Draining {
+	if r.currentTask() == nil || r.step().MaxUnavailable == 0 || r.worker.entry.Draining || r.absent {
 		return false
 	}
 	return r.job.unavailableTasks(r.job.StepNumber(r.name.Task)) > r.step().MaxUnavailable
