Count only stops that were sent against maxUnavailable when one is sent

Fillers with maxUnavailable 1 on several workers kept a latency-sensitive job from starting at all. Cause: all stops that were decided counted as unavailable tasks when the first of them was to be sent, so that more than MaxUnavailable decided stops withheld each other for good. Change: when a stop is sent, the other tasks of its step count as in service until their own stops are sent. Decisions on further stops still count all decided ones. Conclusion: the class is a wait for a condition that only the waiting parties can change. Fillers that can go nowhere else still keep their workers, because fillers and latency-sensitive tasks never share one.

--- a/internal/engine/job_kinds_test.go
+++ b/internal/engine/job_kinds_test.go
@@ -122,6 +122,28 @@
 	})
 }
 
+// TestFillersMakeRoomOneAfterAnother guards against best-effort tasks whose stops withhold each
+// other, so that a latency-sensitive job never starts.
+func TestFillersMakeRoomOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 9})
+		defer c.close()
+		memoryOnly := work.Resources{MemoryMB: 1000}
+		fillers := newJob(1, work.Step{Tasks: 6, Demand: memoryOnly, LongRunning: true, BestEffort: true, MaxPerWorker: 1, MaxUnavailable: 1, PreferredRack: "rack-0"})
+		c.submit("batch", fillers, standin.Behaviour{})
+		time.Sleep(2 * time.Second)
+		serving := newJob(2, work.Step{Tasks: 3, Demand: largeTask, LongRunning: true, LatencySensitive: true, MaxPerWorker: 1, RequiredLabel: "rack-0"})
+		c.submit("normal", serving, standin.Behaviour{})
+		time.Sleep(20 * time.Second)
+		if n := len(c.activeRuns(serving)); n != 3 {
+			t.Errorf("%d of 3 serving tasks run", n)
+		}
+		if n := len(c.activeRuns(fillers)); n != 6 {
+			t.Errorf("%d of 6 best-effort tasks run", n)
+		}
+	})
+}
+
 // TestBestEffortAvoidsLatencySensitive guards against best-effort tasks on the same worker
 // as latency-sensitive tasks, whichever are submitted first. The ledger checks for the
 // violation HARM.
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -205,7 +205,7 @@
 	if r.currentTask() == nil || r.step().MaxUnavailable == 0 || r.worker.entry.Draining || r.absent {
 		return false
 	}
-	return r.job.unavailableTasks(r.job.StepNumber(r.name.Task)) > r.step().MaxUnavailable
+	return r.job.unavailableBeside(r) >= r.step().MaxUnavailable
 }
 
 func (t *term) sendStop(r *run, now time.Duration) {
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -167,14 +167,32 @@
 	return allowance[key] >= 0
 }
 
+// inService reports whether a long-running run is known to be at work. A run on a worker that
+// does not answer is not, because the worker may have ended it.
+func (r *run) inService() bool {
+	return r.phase == runStarted && r.percent >= completePercent && r.worker.missedPolls == 0
+}
+
 // unavailableTasks counts the tasks of a long-running step that are not known to be in
-// service. Tasks on a worker that does not answer count, because the worker may have
-// ended them.
+// service, or will not be once all decided stops are carried out.
 func (j *job) unavailableTasks(step int) int {
 	unavailable := len(j.state.Steps[step].Tasks)
 	for r := range j.runs {
-		if j.StepNumber(r.name.Task) == step && r.phase == runStarted && !r.stopping &&
-			r.percent >= completePercent && r.worker.missedPolls == 0 {
+		if j.StepNumber(r.name.Task) == step && r.inService() && !r.stopping {
+			unavailable--
+		}
+	}
+	return unavailable
+}
+
+// unavailableBeside counts the other tasks of a long-running run's step that are not known to
+// be in service, or have been ordered to stop. A stop that is withheld does not count: stops
+// that wait for each other would never be sent.
+func (j *job) unavailableBeside(r *run) int {
+	step := j.StepNumber(r.name.Task)
+	unavailable := len(j.state.Steps[step].Tasks) - 1
+	for other := range j.runs {
+		if other != r && j.StepNumber(other.name.Task) == step && other.inService() && other.stopSentAt == 0 {
 			unavailable--
 		}
 	}
