Scheduler: conclude nothing from reports that do not list all ends

Cause: a worker lists at most 500 ends that are not acknowledged. A run whose end lies beyond them is neither running nor listed; it was taken for one that never started, was stopped, and the next report ended it as stopped, so its task ran again. A slow, lossy or absent store delays the acknowledgement that makes room for the next page. After a kill of all hosts the store is fast, but some of the stops are answered before the first page is recorded: these are the few tasks that ran again then. Change: the adapter knows the page size and says whether a report is complete. Only a complete report shows that a run is missing, or that late starts of an earlier incarnation are settled. A poll follows at once when ends were recorded while the last one was pending; the next page waited up to 3 s for it before. The stand-in's worker pages its ends, and can take its time for orders.

--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -229,7 +229,7 @@
 	ref := w.ref()
 	t.spawn(func() {
 		report, err := t.Workers.Poll(t.ctx, ref, request)
-		t.post(func(t *term) { t.handlePollAnswer(w, now, report, err) })
+		t.post(func(t *term) { t.handlePollAnswer(w, now, request, report, err) })
 	})
 }
 
@@ -256,7 +256,7 @@
 }
 
 // handlePollAnswer processes the answer to a poll that was sent at the given time.
-func (t *term) handlePollAnswer(w *worker, sent time.Duration, report workers.Report, err error) {
+func (t *term) handlePollAnswer(w *worker, sent time.Duration, request workers.PollRequest, report workers.Report, err error) {
 	now := t.Now()
 	w.pollInFlight = false
 	t.mark(w)
@@ -291,9 +291,12 @@
 	w.updateClock(report.ClockMS, now)
 	t.applyReport(w, sent, report)
 	w.nextPollAt = now
-	if len(w.runs) == 0 {
+	switch {
+	case w.endsRecorded > request.AckedThrough:
+		// Ends were recorded since: their acknowledgement makes room for the next ones.
+	case len(w.runs) == 0:
 		w.nextPollAt = now + idlePollInterval
-	} else if w.hasUnsettledRuns() && !recovered {
+	case w.hasUnsettledRuns() && !recovered:
 		w.nextPollAt = now + unsettledPollInterval
 	}
 }
--- a/internal/engine/scheduler/reports.go
+++ b/internal/engine/scheduler/reports.go
@@ -39,7 +39,7 @@
 		t.applyRunning(w, entry, now)
 	}
 	for _, r := range w.sortedRuns() {
-		if !running[r.name] {
+		if report.Complete && !running[r.name] {
 			t.handleMissingRun(r, sent)
 		}
 	}
@@ -48,7 +48,7 @@
 			t.checkProgress(r, now)
 		}
 	}
-	if !w.hasUnsettledRuns() {
+	if report.Complete && !w.hasUnsettledRuns() {
 		w.lateStartsUntil = 0
 	}
 }
@@ -124,7 +124,7 @@
 	return j.Steps[n.Step].Demand
 }
 
-// handleMissingRun handles a run that is missing in a report requested at the given time.
+// handleMissingRun handles a run that is missing in a complete report requested at the given time.
 // Its start was not carried out but may still be delivered; an answered stop rules that
 // out.
 func (t *term) handleMissingRun(r *run, sent time.Duration) {
--- a/internal/engine/workers/workers.go
+++ b/internal/engine/workers/workers.go
@@ -148,7 +148,11 @@
 	StartMS int64 // start time of the worker in Unix milliseconds
 	ClockMS int64 // worker's clock in milliseconds
 	Running []RunProgress
-	Ended   []EndedRun
+	// Ended lists the ends that are not acknowledged, the oldest first, as many as fit.
+	Ended []EndedRun
+	// Complete reports whether Ended lists all of them. A run that an incomplete report does
+	// not contain may have ended.
+	Complete bool
 }
 
 // Errors of Client.Poll. Any other error means that the worker did not respond.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -35,6 +35,10 @@
 	// several.
 	CrossRackSlowdown float64
 	Seed              uint64
+	// EndsPageSize is the largest number of ends in a report; 0 means defaultEndsPageSize.
+	EndsPageSize int
+	// OrderTime is the time that a worker needs for an order. Orders wait for earlier ones.
+	OrderTime time.Duration
 	// StaleEntries keeps the entries of workers unchanged while the store is unavailable.
 	StaleEntries bool
 	// NewIDAfterCrash gives workers a new id when they restart after a crash that a task
@@ -88,8 +92,14 @@
 	ended           bool
 }
 
+// defaultEndsPageSize is the page size of the platform's workers.
+const defaultEndsPageSize = 500
+
 // NewFleet returns a fleet without workers.
 func NewFleet(o FleetOptions, s *Store) *Fleet {
+	if o.EndsPageSize == 0 {
+		o.EndsPageSize = defaultEndsPageSize
+	}
 	return &Fleet{
 		FleetOptions: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), store: s, workers: map[string]*Worker{},
 		jobs: map[string]registeredJob{}, gangs: map[gangKey]*gang{}, failures: map[work.TaskName]int{},
@@ -141,6 +151,7 @@
 	highestEndedRun map[work.TaskName]int // highest run that was stopped or has ended
 	ends            []workers.EndedRun    // ended runs that are not acknowledged yet
 	acked           int64
+	busyUntil       time.Time // when the orders that have arrived are executed
 	lastEndNumber   int64
 	leaseTimer      *time.Timer
 	leaseEnd        time.Time
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -40,7 +41,7 @@
 // sendOrder executes an order with the faults in force. handle is called with the lock
 // held.
 func (c *fleetClient) sendOrder(ctx context.Context, ref workers.Ref, handle func(*Worker) workers.Answer) (workers.Answer, error) {
-	if err := sleep(ctx, workerLatency); err != nil {
+	if err := sleep(ctx, workerLatency+c.queueTime(ref)); err != nil {
 		return workers.Answer{}, err
 	}
 	c.mu.Lock()
@@ -67,6 +68,22 @@
 	return workers.Answer{}, errNoWorkerAnswer
 }
 
+// queueTime returns how long an order waits for earlier ones and is executed.
+func (c *fleetClient) queueTime(ref workers.Ref) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[ref.Address]
+	if w == nil || c.OrderTime == 0 {
+		return 0
+	}
+	now := time.Now()
+	if w.busyUntil.Before(now) {
+		w.busyUntil = now
+	}
+	w.busyUntil = w.busyUntil.Add(c.OrderTime)
+	return w.busyUntil.Sub(now)
+}
+
 // handleLater executes an order after 2 to 12 s, if the worker has not been restarted by
 // then. The caller holds the lock.
 func (c *fleetClient) handleLater(w *Worker, handle func(*Worker) workers.Answer) {
@@ -216,8 +233,13 @@
 	return nil
 }
 
+// report lists the runs and the oldest ends that are not acknowledged. The caller holds the
+// lock.
 func (w *Worker) report() workers.Report {
-	r := workers.Report{StartMS: w.entry.StartMS, ClockMS: w.clockMS(), Ended: append([]workers.EndedRun(nil), w.ends...)}
+	page := w.ends[:min(len(w.ends), w.fleet.EndsPageSize)]
+	r := workers.Report{
+		StartMS: w.entry.StartMS, ClockMS: w.clockMS(), Ended: slices.Clone(page), Complete: len(page) < w.fleet.EndsPageSize,
+	}
 	for _, run := range w.runs {
 		percent := 100.0
 		if run.totalWork > 0 && !run.step().LongRunning {
