Scheduler: do not acknowledge ends to the next incarnation unread

Cause: a poll names the worker, not its incarnation, and each poll repeated the acknowledgement of all recorded ends. One that met a restarted worker made it forget as many of its own ends, unread. A run whose start had reached the new incarnation was then missing, and its task ran again. Change: an end is acknowledged until an answer of the incarnation follows, not in each poll, and not while a poll is missed, because the worker may have restarted since. Conclusion: a restart that follows an answered poll within the interval to the next one, while an acknowledgement is due, can still hit; the platform offers no way to name the incarnation.

--- a/internal/engine/ends_test.go
+++ b/internal/engine/ends_test.go
@@ -88,3 +88,21 @@
 		c.awaitOneRunEach(jobs)
 	})
 }
+
+// TestNextIncarnationKeepsItsEnds guards against a task that runs again because its end was
+// acknowledged unread: the poll was meant for an earlier incarnation, which had counted further.
+func TestNextIncarnationKeepsItsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 1})
+		defer c.close()
+		first := newJob(1, work.Step{Tasks: 20, Demand: tinyTask, EstimateMS: 100})
+		c.submit("normal", first, standin.Behaviour{Work: 100 * time.Millisecond})
+		c.awaitStatus(first.ID, work.Completed, 5*time.Second)
+		// The next read of the list of workers follows 250 ms after that of a heartbeat.
+		time.Sleep(time.Until(c.start.Add(4*heartbeatInterval + 10*time.Millisecond)))
+		c.workers[0].Restart()
+		second := newJob(2, work.Step{Tasks: 1, Demand: tinyTask, EstimateMS: 1})
+		c.submit("normal", second, standin.Behaviour{Work: 100 * time.Microsecond})
+		c.awaitOneRunEach([]work.Job{second})
+	})
+}
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -214,7 +214,7 @@
 		return
 	}
 	w.pollInFlight = true
-	request := workers.PollRequest{Fence: t.epoch, AckedThrough: w.endsRecorded}
+	request := workers.PollRequest{Fence: t.epoch, AckedThrough: w.acknowledgement()}
 	// An unanswered poll may still have renewed the lease. A worker that does not answer
 	// is therefore polled without renewal, so that its lease lapses at a known time.
 	if len(w.runs) > 0 && w.clockAt != 0 && w.missedPolls == 0 {
@@ -233,6 +233,16 @@
 	})
 }
 
+// acknowledgement returns the number of the last end to acknowledge, or 0 if there is nothing to
+// acknowledge. A poll can reach the next incarnation, whose ends count from 1 again: none is
+// acknowledged to a worker that may have restarted since its last answer.
+func (w *worker) acknowledgement() int64 {
+	if w.missedPolls > 0 || w.endsRecorded == w.endsAcked {
+		return 0
+	}
+	return w.endsRecorded
+}
+
 // extendLease returns the end of a lease that starts now, in milliseconds on the worker's
 // clock.
 func (t *term) extendLease(w *worker, now time.Duration) int64 {
@@ -288,11 +298,12 @@
 		t.needsPlanning = true
 	}
 	w.missedPolls, w.reached, w.answeredAt = 0, true, sent
+	w.endsAcked = max(w.endsAcked, request.AckedThrough)
 	w.updateClock(report.ClockMS, now)
 	t.applyReport(w, sent, report)
 	w.nextPollAt = now
 	switch {
-	case w.endsRecorded > request.AckedThrough:
+	case w.endsRecorded > w.endsAcked:
 		// Ends were recorded since: their acknowledgement makes room for the next ones.
 	case len(w.runs) == 0:
 		w.nextPollAt = now + idlePollInterval
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -171,9 +171,10 @@
 	lateStartsUntil time.Duration
 	runs            map[work.RunName]*run
 	used            work.Resources
-	// endsSeen and endsRecorded are the numbers of the last ends of runs that were
-	// processed and that are recorded in the store.
-	endsSeen, endsRecorded int64
+	// endsSeen, endsRecorded and endsAcked are the numbers of the last ends of runs that
+	// were processed, that are recorded in the store, and that a poll answered by this
+	// incarnation has acknowledged.
+	endsSeen, endsRecorded, endsAcked int64
 	// stoppingRuns counts the runs that are to be stopped.
 	stoppingRuns int
 	// backoffUntil is the time until which the worker gets no new runs. It grows with the
