--- a/internal/engine/ends_test.go
+++ b/internal/engine/ends_test.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// TestEndsBeyondReportPageAreNotRepeated guards against tasks that run again because their ends
-// follow in a later page of the worker's reports and were acknowledged too late to be listed.
+// TestEndsBeyondReportPageAreNotRepeated guards against conclusions from an incomplete report.
 func TestEndsBeyondReportPageAreNotRepeated(t *testing.T) {
 	faults := map[string]standin.StoreFaults{
 		"slow":   {ExtraLatency: 300 * time.Millisecond},
@@ -70,8 +69,7 @@
 	}
 }
 
-// TestEndsDuringAbsenceOfAllHostsAreNotRepeated guards against tasks that run again because they
-// ended, more than a report lists, while no host ran.
+// TestEndsDuringAbsenceOfAllHostsAreNotRepeated guards against the same at a takeover.
 func TestEndsDuringAbsenceOfAllHostsAreNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, clusterOptions{hosts: 3, workers: 1, orderTime: 100 * time.Microsecond})
@@ -89,8 +87,7 @@
 	})
 }
 
-// TestNextIncarnationKeepsItsEnds guards against a task that runs again because its end was
-// acknowledged unread: the poll was meant for an earlier incarnation, which had counted further.
+// TestNextIncarnationKeepsItsEnds guards against acknowledgements that reach the next incarnation.
 func TestNextIncarnationKeepsItsEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, clusterOptions{hosts: 2, workers: 1})
--- a/internal/engine/random_ends_test.go
+++ b/internal/engine/random_ends_test.go
@@ -22,8 +22,7 @@
 	endsDayInterval = 2 * time.Second
 )
 
-// TestRandomDaysOfManyEnds guards against tasks that run again because a report listed only a
-// part of the ends, with a slow, lossy or absent store and with kills of all hosts.
+// TestRandomDaysOfManyEnds guards against ends that are lost between reports, store and hosts.
 func TestRandomDaysOfManyEnds(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
@@ -64,8 +63,7 @@
 	}
 }
 
-// faultAroundEnds causes a fault and returns when it has ended, or, for faults of the store and
-// of orders, at once; the next fault of the kind replaces them.
+// faultAroundEnds causes a fault. It waits while all hosts are down; other faults end later.
 func (c *cluster) faultAroundEnds(rng *rand.Rand) {
 	duration := time.Duration(rng.IntN(3000)) * time.Millisecond
 	w := c.workers[rng.IntN(len(c.workers))]
@@ -87,7 +85,7 @@
 		}
 	case 5:
 		c.fleet.SetUnreachable("", id, true)
-		time.AfterFunc(duration, func() { c.fleet.SetUnreachable("", id, false) })
+		time.AfterFunc(3*duration, func() { c.fleet.SetUnreachable("", id, false) }) // beyond a lease
 	case 6:
 		c.fleet.SetOrderFaults(0.1, 0.2)
 	case 7:
--- a/internal/standin/ledger_test.go
+++ b/internal/standin/ledger_test.go
@@ -10,8 +10,7 @@
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 )
 
-// TestLedgerTellsIncarnationsApart guards against a start that counts as a repetition of a task
-// that was done because the end of its run is attributed to an earlier incarnation as well.
+// TestLedgerTellsIncarnationsApart guards against ends attributed to an earlier incarnation.
 func TestLedgerTellsIncarnationsApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFleet(FleetOptions{MaxLease: time.Minute, HeartbeatInterval: time.Second}, NewStore(1))
