Ledger of the stand-in: tell the incarnations of a worker apart

Cause: a start that reached two incarnations of a worker has two entries of the same run, and the number of its end was given to both. The acknowledgement of the second then counted the second start as a start after a run that was done. Change: an entry keeps the start of its incarnation, and end numbers match only there.

--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -11,14 +11,16 @@
 
 // LedgerRun describes one run as the workers observed it.
 type LedgerRun struct {
-	Name         work.RunName
-	Worker       string
-	Zone         string
-	Begin        time.Time
-	End          time.Time // zero until the run has ended
-	Ending       string
-	demand       work.Resources
-	endNumber    int64 // number of the end in the worker's reports
+	Name      work.RunName
+	Worker    string
+	Zone      string
+	Begin     time.Time
+	End       time.Time // zero until the run has ended
+	Ending    string
+	demand    work.Resources
+	endNumber int64 // number of the end in the worker's reports
+	// incarnation is when the worker's incarnation started, which end numbers refer to.
+	incarnation  time.Time
 	acknowledged bool
 	// stopping is set once the worker has received a stop for the run.
 	stopping bool
@@ -103,7 +105,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	task := r.name.Task
-	entry := &LedgerRun{Name: r.name, Worker: w.entry.ID, Zone: w.entry.Zone, Begin: time.Now(), demand: r.step().Demand}
+	entry := &LedgerRun{Name: r.name, Worker: w.entry.ID, Zone: w.entry.Zone, Begin: time.Now(), demand: r.step().Demand, incarnation: w.startedAt}
 	failures, crashes := 0, 0
 	for _, earlier := range l.runs[task] {
 		switch {
@@ -250,12 +252,17 @@
 	l.usedCapacity[r.worker] = l.usedCapacity[r.worker].Minus(entry.demand)
 }
 
+// isOn reports whether the run was on the worker's current incarnation.
+func (r *LedgerRun) isOn(w *Worker) bool {
+	return r.Worker == w.entry.ID && r.incarnation.Equal(w.startedAt)
+}
+
 // recordEndNumber records the number under which the worker reports the end of a run.
 func (l *Ledger) recordEndNumber(r *activeRun, number int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, entry := range l.runs[r.name.Task] {
-		if entry.Name == r.name && entry.Worker == r.worker.entry.ID {
+		if entry.Name == r.name && entry.isOn(r.worker) {
 			entry.endNumber = number
 		}
 	}
@@ -267,7 +274,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, entry := range l.runs[e.Run.Task] {
-		if entry.Name != e.Run || entry.Worker != w.entry.ID || entry.endNumber != e.Number {
+		if entry.Name != e.Run || !entry.isOn(w) || entry.endNumber != e.Number {
 			continue
 		}
 		entry.acknowledged = true
