Count crashes of workers that did not answer a start

Two tasks that crash their workers before these answer the start were started again and again, some 17 times each after the third crash. Cause: the age of a run whose start got no answer is unknown, so it was no fresh run. When two such workers were lost within a second, each loss excused the other, and nothing was counted. Change: a run whose start was sent and whose worker has answered nothing since counts for its task, whatever else was lost at the time. It is no proof by itself, since the worker may have been lost before, so it gives the job up at the fourth crash only; long-running tasks are then given up, too.

--- a/internal/engine/blame/blame.go
+++ b/internal/engine/blame/blame.go
@@ -39,11 +39,14 @@
 	// Age is the time between the start of the run and the crash, if AgeKnown.
 	Age      time.Duration
 	AgeKnown bool
+	// Unanswered reports whether the start got no answer and the worker has answered nothing
+	// since: the start may have crashed it, or was sent to a worker that was lost already.
+	Unanswered bool
 	// Crashes is the number of earlier crashes that were counted for the task, FreshCrashes that
-	// of those under fresh runs.
+	// of those under fresh runs and unanswered starts.
 	Crashes, FreshCrashes int
 	// LongRunning reports whether the task runs until its job is cancelled. Such a task lives
-	// through many crashes, so that their number alone tells nothing.
+	// through many crashes, so that only those right after its starts tell anything.
 	LongRunning bool
 }
 
@@ -89,9 +92,13 @@
 	suspects := suspects(runs)
 	for _, i := range suspects {
 		r, crashes := runs[i], runs[i].Crashes+1
-		verdicts[i].Counted = r.Fresh() || !shared
+		verdicts[i].Counted = r.Fresh() || r.Unanswered || !shared
 		certain := r.FreshCrashes+1 >= minFreshCrashes && r.Fresh() && !shared && leads(runs, suspects, i)
-		verdicts[i].GiveUp = verdicts[i].Counted && (certain || (crashes >= maxCrashes && !r.LongRunning))
+		often := crashes >= maxCrashes
+		if r.LongRunning {
+			often = r.FreshCrashes+1 >= maxCrashes && (r.Fresh() || r.Unanswered)
+		}
+		verdicts[i].GiveUp = verdicts[i].Counted && (certain || often)
 	}
 	return verdicts
 }
--- a/internal/engine/blame/blame_test.go
+++ b/internal/engine/blame/blame_test.go
@@ -38,6 +38,12 @@
 		{"old run", []Run{known("a", 2*time.Minute, 9)}, []Verdict{{}}, false},
 		{"beside other losses", []Run{known("a", fresh, 1), known("b", old, 0)}, []Verdict{counted, {}}, true},
 		{"beside other losses, limit", []Run{known("a", fresh, 3)}, []Verdict{given}, true},
+		{"unanswered beside an old run", []Run{{Job: "a", Unanswered: true}, known("b", old, 0)}, []Verdict{counted, counted}, false},
+		{"unanswered, shared", []Run{{Job: "a", Unanswered: true, Crashes: 1, FreshCrashes: 1}}, []Verdict{counted}, true},
+		{"unanswered, limit", []Run{{Job: "a", Unanswered: true, Crashes: 3}}, []Verdict{given}, true},
+		{"unanswered, long-running", []Run{{Job: "a", Unanswered: true, Crashes: 9, FreshCrashes: 2, LongRunning: true}}, []Verdict{counted}, true},
+		{"unanswered, long-running, limit", []Run{{Job: "a", Unanswered: true, Crashes: 9, FreshCrashes: 3, LongRunning: true}}, []Verdict{given}, true},
+		{"old long-running run", []Run{{Job: "a", Age: old, AgeKnown: true, Crashes: 9, FreshCrashes: 3, LongRunning: true}}, []Verdict{counted}, false},
 		{"beside other losses, no fresh run", []Run{known("a", old, 3), {Job: "b", Crashes: 3}}, []Verdict{{}, {}}, true},
 	} {
 		for i, got := range Judge(test.runs, test.shared) {
--- a/internal/engine/crashes_test.go
+++ b/internal/engine/crashes_test.go
@@ -59,6 +59,30 @@
 	}
 }
 
+// TestTasksThatCrashWorkersBeforeTheAnswerAreGivenUp guards against tasks that are started without end because they crash workers before these answer, at the same time as each other.
+func TestTasksThatCrashWorkersBeforeTheAnswerAreGivenUp(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprintf("long-running %v", longRunning), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, clusterOptions{hosts: 3, workers: 12})
+				defer c.close()
+				sound := newJob(9, work.Step{Tasks: 8, Demand: smallTask, EstimateMS: 4000})
+				c.submit("normal", sound, standin.Behaviour{Work: 4 * time.Second})
+				j := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 3000, LongRunning: longRunning, MaxPerWorker: 1})
+				c.submit("normal", j, standin.Behaviour{Work: 3 * time.Second, CrashesBeforeAnswer: true})
+				c.awaitStatus(j.ID, work.Failed, 5*crashCycle)
+				time.Sleep(20 * time.Second)
+				for i := range j.Steps[0].Tasks {
+					if n := len(c.fleet.Ledger().Runs(work.TaskName{Job: j.ID, Index: i})); n > 5 {
+						t.Errorf("task %d was started %d times", i, n)
+					}
+				}
+				c.awaitStatus(sound.ID, work.Completed, 30*time.Second)
+			})
+		})
+	}
+}
+
 // TestCrashCountSurvivesOwnerChange guards against a new owner that counts the crashes under a task from zero.
 func TestCrashCountSurvivesOwnerChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/engine/scheduler/crashes.go
+++ b/internal/engine/scheduler/crashes.go
@@ -53,6 +53,7 @@
 func (w *worker) evidence(r *run) blame.Run {
 	e := blame.Run{Age: w.crashTime() - r.startedAt}
 	e.AgeKnown = r.startedAt != 0 && (e.Age >= blame.FreshAge || (w.missedPolls > 0 && !r.inherited))
+	e.Unanswered = w.leftUnanswered(r)
 	if r.job != nil {
 		e.Job, e.LongRunning = r.job.ID, r.step().LongRunning
 	}
@@ -62,6 +63,12 @@
 	return e
 }
 
+// leftUnanswered reports whether the worker has answered neither the run's start nor any poll
+// that was sent after it.
+func (w *worker) leftUnanswered(r *run) bool {
+	return r.startSentAt != 0 && r.startedAt == 0 && !r.reported && w.answeredAt <= r.startSentAt
+}
+
 // handleCrash counts the crash of a worker for the tasks that may have caused it, and fails
 // jobs whose tasks crash the workers that start them. A crash is known once the worker's next
 // incarnation, or another worker at its address, responds: a worker that is only silent is
@@ -85,7 +92,7 @@
 			zap.Duration("age", evidence[i].Age), zap.Bool("age_known", evidence[i].AgeKnown), zap.Int("crashes", evidence[i].Crashes),
 			zap.Bool("counted", verdicts[i].Counted))
 		if verdicts[i].Counted {
-			t.countCrash(r, evidence[i].Fresh(), verdicts[i].GiveUp)
+			t.countCrash(r, evidence[i].Fresh() || evidence[i].Unanswered, verdicts[i].GiveUp)
 		}
 	}
 }
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -49,7 +49,7 @@
 			return
 		}
 	}
-	r.phase = runStartSent
+	r.phase, r.startSentAt = runStartSent, now
 	order := workers.StartOrder{
 		Run: r.name, Spec: r.job.Spec, Checkpoint: t.startCheckpoint(r),
 		LeaseUntilMS: t.extendLease(r.worker, now), Fence: t.epoch, Ticket: ticket,
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -94,6 +94,8 @@
 	worker *worker
 	demand work.Resources
 	phase  runPhase
+	// startSentAt is when the first attempt of the start was sent in this term; 0 if none was.
+	startSentAt time.Duration
 	// startResolvedAt is when the start was answered or given up. Reports requested later
 	// show whether the run is on the worker.
 	startResolvedAt time.Duration
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -25,6 +25,8 @@
 	Hangs bool
 	// CrashesWorker marks a task that crashes each worker that starts it.
 	CrashesWorker bool
+	// CrashesBeforeAnswer marks one that crashes them before they answer the start.
+	CrashesBeforeAnswer bool
 }
 
 // FleetOptions are the parameters of a fleet.
@@ -335,18 +337,24 @@
 	time.AfterFunc(taskCrashDelay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if w.runs[r.name.Task] != r {
-			return
+		if w.runs[r.name.Task] == r {
+			w.crashNow(r)
+		}
+	})
+}
+
+// crashNow crashes the worker because of a run, and restarts it later. The caller holds the
+// lock.
+func (w *Worker) crashNow(r *activeRun) {
+	f := w.fleet
+	w.removeRun(r, endingCrashedWorker)
+	w.terminate()
+	time.AfterFunc(taskCrashDownTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !w.up && w.closed == 0 {
+			w.restartAfterCrash()
 		}
-		w.removeRun(r, endingCrashedWorker)
-		w.terminate()
-		time.AfterFunc(taskCrashDownTime, func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if !w.up && w.closed == 0 {
-				w.restartAfterCrash()
-			}
-		})
 	})
 }
 
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -52,7 +52,7 @@
 	}
 	if w != nil && !late {
 		answer := handle(w)
-		if !lost {
+		if !lost && w.up {
 			c.mu.Unlock()
 			return answer, sleep(ctx, workerLatency)
 		}
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -36,6 +36,10 @@
 	r.totalWork = b.Work
 	w.runs[o.Run.Task] = r
 	f.ledger.recordStart(w, r, o)
+	if b.CrashesBeforeAnswer {
+		w.crashNow(r)
+		return
+	}
 	if b.CrashesWorker {
 		w.crashByTask(r)
 	}
