Clear the crashes of a task whose run its worker has survived

A long-running job whose tasks fail soon after each start was given up because its workers lost power a few times. Cause: crashes under fresh runs were added up over the life of a task, and each run of a task that fails within half a second is a fresh one. Runs that their workers survived counted for nothing. Change: a run that has lived longer than a fresh one, or ends as done or failed, clears the task's crashes under fresh runs. A task that crashes its workers never gets there. Measured: TestFailingLongRunningTaskIsNotBlamedForPowerCuts: given up on the code before, running after five power cuts with the change.

--- a/internal/engine/crashes_test.go
+++ b/internal/engine/crashes_test.go
@@ -197,3 +197,29 @@
 		c.awaitStatus(j.ID, work.Completed, 30*time.Second)
 	})
 }
+
+// TestFailingLongRunningTaskIsNotBlamedForPowerCuts guards against a long-running job that is given up for single power cuts because its tasks fail soon after each start.
+func TestFailingLongRunningTaskIsNotBlamedForPowerCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 6})
+		defer c.close()
+		j := newJob(1, work.Step{Tasks: 1, Demand: smallTask, LongRunning: true})
+		c.submit("normal", j, standin.Behaviour{Work: 540 * time.Millisecond, Failures: 1000})
+		for range 5 {
+			time.Sleep(3 * time.Second)
+			for len(c.activeRuns(j)) == 0 {
+				if s := c.status(j.ID); s != work.Running {
+					t.Fatalf("the job is shown as %c", s)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			w := c.worker(c.activeRuns(j)[0].Worker)
+			w.Crash()
+			time.Sleep(3 * time.Second)
+			w.Restart()
+		}
+		if s := c.status(j.ID); s != work.Running {
+			t.Errorf("the job is shown as %c", s)
+		}
+	})
+}
--- a/internal/engine/scheduler/crashes.go
+++ b/internal/engine/scheduler/crashes.go
@@ -119,8 +119,8 @@
 // clearSuspicion notes that the run has worked on its worker for long enough to show that its
 // task does not crash workers.
 func (t *term) clearSuspicion(r *run, now time.Duration) {
-	if task := r.currentTask(); task != nil && task.Suspect && r.proven(now) {
-		task.Suspect = false
+	if task := r.currentTask(); task != nil && r.proven(now) {
+		task.Suspect, task.FreshCrashes = false, 0
 	}
 }
 
--- a/internal/engine/scheduler/endings.go
+++ b/internal/engine/scheduler/endings.go
@@ -34,6 +34,9 @@
 	if checkpoint != "" && r.step().SavesProgress {
 		task.Checkpoint = checkpoint
 	}
+	if ending == workers.EndedDone || ending == workers.EndedFailed {
+		task.Suspect, task.FreshCrashes = false, 0 // the worker has survived the run
+	}
 	t.markDirty(r.job)
 	switch {
 	case r.step().LongRunning:
