Reject submissions that the store cannot hold at once

Cause: a 400 or 413 of the store was taken for a call without an answer, so a job whose record is larger than the store's limit was repeated until the caller gave up, and the caller was told to try again. The limits of the store were not read from the settings. A submission whose record exceeds the limit, or that the store rejects for good, is answered as a bad job with the reason and the limit; after an attempt without an answer the outcome stays unknown. The stand-in store enforces the limits and rejects chosen records.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -180,7 +180,7 @@
 			MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, StatusRetention: 2 * time.Minute,
 			WorkerHeartbeatInterval: heartbeatInterval, HolderLease: 3 * time.Second, UpkeepDuration: 2 * time.Second,
 		},
-		MaxRevocationDelay: 5 * time.Second, MinMembershipTTL: time.Second, Now: c.clock, WallClock: func() time.Time { return c.readWallClock(name) },
+		StoreLimits: standin.StoreLimits, MaxRevocationDelay: 5 * time.Second, MinMembershipTTL: time.Second, Now: c.clock, WallClock: func() time.Time { return c.readWallClock(name) },
 		Metrics: gometrics.NewRegistry(), Logger: c.log.With(zap.String("host", name)),
 	})
 	h := &testHost{Engine: e, name: name, cancel: cancel, done: make(chan struct{})}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -74,6 +74,7 @@
 	DecodeOperator             replica.DecodeOperator
 	DecodeWorker               scheduler.DecodeWorker
 	Bounds                     scheduler.Bounds
+	StoreLimits                store.Limits
 	// MaxRevocationDelay is the time within which a revoked key must be refused.
 	MaxRevocationDelay time.Duration
 	// MinMembershipTTL is the shortest time to live of a group membership that the store
@@ -135,11 +136,11 @@
 		Store: o.Store, Workers: o.Workers, Advisor: o.Advisor, Machines: o.Machines,
 		StatusTopic: o.StatusTopic, EncodeWaveStatus: o.EncodeWaveStatus, WorkerTopic: o.WorkerTopic, DecodeWorker: o.DecodeWorker,
 		Elector: e.elector, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses, Operator: e.Operator,
-		Bounds: o.Bounds, Now: o.Now, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("scheduler"),
+		Bounds: o.Bounds, StoreLimits: o.StoreLimits, Now: o.Now, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("scheduler"),
 	})
 	e.Intake = intake.New(intake.Options{
 		Store: o.Store, Operator: e.Operator, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses,
-		MaxRevocationDelay: o.MaxRevocationDelay, HasAdvisor: o.Advisor != nil, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("intake"),
+		StoreLimits: o.StoreLimits, MaxRevocationDelay: o.MaxRevocationDelay, HasAdvisor: o.Advisor != nil, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("intake"),
 	})
 	return e
 }
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/daisyfold/daisyfold/internal/engine"
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/scheduler"
+	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/logging"
 	"github.com/daisyfold/daisyfold/internal/metrics"
@@ -77,6 +78,7 @@
 		OperatorTopic: platform.TopicOperator, WorkerTopic: platform.TopicWorkers,
 		DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker,
 		Bounds:             bounds(s),
+		StoreLimits:        store.Limits{RecordBytes: s.StoreRecordBytes, CallBytes: s.StoreCallBytes},
 		MaxRevocationDelay: s.MaxRevocationDelay, MinMembershipTTL: s.MinMembershipTTL,
 		Now: boottime.Now, WallClock: time.Now, Metrics: h.registry, Logger: log,
 	})
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +95,8 @@
 	Statuses    *replica.Follower
 	// MaxRevocationDelay is the time within which a revoked key must be refused.
 	MaxRevocationDelay time.Duration
+	// StoreLimits are the store's limits, which bound the record of a job.
+	StoreLimits store.Limits
 	// HasAdvisor is set if the platform has an advice service.
 	HasAdvisor bool
 	// WallClock returns the time of day, for the time of acceptance.
@@ -185,7 +188,11 @@
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
 	job.AcceptedMS = s.WallClock().UnixMilli()
-	return s.write(ctx, c, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
+	record := store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()}
+	if size, limit := record.Size(), s.StoreLimits.RecordBytes; size > limit {
+		return Answer{Outcome: BadJob, Reason: fmt.Sprintf("the job's record has %d bytes, and the store's limit is %d", size, limit)}
+	}
+	return s.write(ctx, c, record)
 }
 
 // Cancel cancels a job. It succeeds if the job has already ended.
@@ -304,6 +311,9 @@
 		if err == nil {
 			return Answer{Outcome: OK}
 		}
+		if errors.Is(err, store.ErrInvalid) {
+			return invalidAnswer(err, maybeAppended)
+		}
 		refused := errors.Is(err, store.ErrRefused)
 		if refused && !maybeAppended {
 			return Answer{Outcome: TryLater, Reason: "the store refused", RetryAfter: retryAfter}
@@ -317,6 +327,14 @@
 	}
 }
 
+// invalidAnswer returns the answer to a call whose record the store rejects for good.
+func invalidAnswer(err error, maybeAppended bool) Answer {
+	if maybeAppended {
+		return Answer{Outcome: Unknown, Reason: "the store did not answer at first and then rejected the record: " + err.Error()}
+	}
+	return Answer{Outcome: BadJob, Reason: "the store does not accept the record: " + err.Error()}
+}
+
 // updateMetrics updates the metrics of an operation: the number of answers by outcome, and the
 // duration.
 func (s *Service) updateMetrics(operation string, a Answer, start time.Time) {
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	Statuses         *replica.Follower
 	Operator         *replica.Operator
 	Bounds           Bounds
+	StoreLimits      store.Limits
 	Now              boottime.Clock
 	// WallClock returns the time of day.
 	WallClock func() time.Time
--- a/internal/engine/store/store.go
+++ b/internal/engine/store/store.go
@@ -17,11 +17,49 @@
 	Value  []byte
 }
 
+// Size returns the bytes of the record that count against the store's limits.
+func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
+// recordLengthBytes precede each record in an append.
+const recordLengthBytes = 4
+
+// CallSize returns the bytes of an append of the records.
+func CallSize(records []Record) int {
+	size := 0
+	for _, r := range records {
+		size += recordLengthBytes + r.Size()
+	}
+	return size
+}
+
+// Limits are the store's limits in bytes.
+type Limits struct {
+	RecordBytes int // of a record with its key
+	CallBytes   int // of all records of one append
+}
+
+// Check returns an error that wraps ErrInvalid and names the limit if the store would reject
+// an append of the records.
+func (l Limits) Check(records []Record) error {
+	for _, r := range records {
+		if r.Size() > l.RecordBytes {
+			return trace.Wrap(ErrInvalid, "record %s has %d bytes, the store's limit is %d", r.Key, r.Size(), l.RecordBytes)
+		}
+	}
+	if size := CallSize(records); size > l.CallBytes {
+		return trace.Wrap(ErrInvalid, "an append has %d bytes, the store's limit is %d", size, l.CallBytes)
+	}
+	return nil
+}
+
 // Errors of a Store. Any other error leaves open whether the call was executed.
 var (
 	// ErrRefused means that the store did not execute the call, because it is busy or
 	// rejects this host.
 	ErrRefused = &trace.LimitExceededError{Message: "the store refused the call and did nothing"}
+	// ErrInvalid means that the store did not execute the call and never will, because of its
+	// size or form.
+	ErrInvalid = &trace.BadParameterError{Message: "the store rejected the call for good and did nothing"}
 	// ErrFenced means that the producer has written with a later epoch.
 	ErrFenced = &trace.CompareFailedError{Message: "a later epoch has written to the topic"}
 	// ErrConflict means that the topic does not end at the offset that a conditional
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -31,6 +31,9 @@
 	rememberedAppends = 5
 )
 
+// StoreLimits are the limits that the store enforces.
+var StoreLimits = store.Limits{RecordBytes: 256 << 10, CallBytes: 2 << 20}
+
 // StoreFaults are the faults that the store injects, for all hosts or for one.
 type StoreFaults struct {
 	Down         bool          // calls get no response and are not executed
@@ -51,6 +54,8 @@
 	groups       map[string]*group
 	globalFaults StoreFaults
 	hostFaults   map[string]StoreFaults
+	// invalid selects records that the store rejects for good; nil means none.
+	invalid func(topic string, r store.Record) bool
 }
 
 // NewStore returns an empty store. The seed determines which writes are late or lost.
@@ -120,6 +125,25 @@
 	s.hostFaults[host] = f
 }
 
+// SetInvalid makes the store reject appends with a record that the function selects. The
+// function is called with the store's lock held.
+func (s *Store) SetInvalid(invalid func(topic string, r store.Record) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.invalid = invalid
+}
+
+// check returns an error if the store rejects the records for good. The caller holds the
+// lock.
+func (s *Store) check(name string, records []store.Record) error {
+	for _, r := range records {
+		if s.invalid != nil && s.invalid(name, r) {
+			return trace.Wrap(store.ErrInvalid, "record %s of %s", r.Key, name)
+		}
+	}
+	return StoreLimits.Check(records)
+}
+
 // Compact deletes the history of a topic. The newest record of each key remains
 // available through Newest.
 func (s *Store) Compact(name string) {
@@ -237,12 +261,20 @@
 
 // Append implements store.Store.
 func (c *storeClient) Append(ctx context.Context, name string, records []store.Record) (int64, error) {
-	return c.write(ctx, func() (int64, error) { return c.topic(name).append(records), nil })
+	return c.write(ctx, func() (int64, error) {
+		if err := c.check(name, records); err != nil {
+			return 0, err
+		}
+		return c.topic(name).append(records), nil
+	})
 }
 
 // AppendAt implements store.Store.
 func (c *storeClient) AppendAt(ctx context.Context, name string, at int64, records []store.Record) (int64, error) {
 	return c.write(ctx, func() (int64, error) {
+		if err := c.check(name, records); err != nil {
+			return 0, err
+		}
 		if t := c.topic(name); t.endOffset() != at {
 			return 0, trace.Wrap(store.ErrConflict)
 		}
@@ -253,6 +285,9 @@
 // AppendFenced implements store.Store.
 func (c *storeClient) AppendFenced(ctx context.Context, name string, position store.Position, records []store.Record) (int64, error) {
 	return c.write(ctx, func() (int64, error) {
+		if err := c.check(name, records); err != nil {
+			return 0, err
+		}
 		t := c.topic(name)
 		p := t.producers[position.Producer]
 		if p == nil || position.Epoch > p.epoch {
