Keep the state of a job in chunks of bounded size

Cause: the state of a job was one record of some 68 bytes a task. Long checkpoints of 24 tasks did the same. Only chunks that changed are written, in one append. A state beyond the limits of the settings fails its job without a call. A batch does not exceed its size by one record any more.

--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -38,11 +38,35 @@
 // CancelKey returns the key of a job's cancellation in TopicJobs.
 func CancelKey(id string) string { return cancelKeyPrefix + id }
 
-// StateKey returns the key of a job in TopicStatuses and TopicRuns.
+// StateKey returns the key of a job in TopicStatuses, and of the first chunk of its state in
+// TopicRuns.
 func StateKey(id string) string { return stateKeyPrefix + id }
 
-// ParseStateKey returns the job id in a key made by StateKey, and whether the key is one.
-func ParseStateKey(key string) (string, bool) { return strings.CutPrefix(key, stateKeyPrefix) }
+// chunkSeparator separates the job id from the number of a chunk.
+const chunkSeparator = "/"
+
+// ChunkKey returns the key of a chunk of a job's state in TopicRuns.
+func ChunkKey(id string, chunk int) string {
+	if chunk == 0 {
+		return StateKey(id)
+	}
+	return StateKey(id) + chunkSeparator + strconv.Itoa(chunk)
+}
+
+// ParseChunkKey returns the job id and the chunk in a key made by ChunkKey, and whether the
+// key is one.
+func ParseChunkKey(key string) (id string, chunk int, ok bool) {
+	rest, ok := strings.CutPrefix(key, stateKeyPrefix)
+	if !ok {
+		return "", 0, false
+	}
+	id, number, numbered := strings.Cut(rest, chunkSeparator)
+	if !numbered {
+		return id, 0, true
+	}
+	chunk, err := strconv.Atoi(number)
+	return id, chunk, err == nil && chunk > 0 && chunk < work.MaxChunks
+}
 
 // OwnerRecord returns a heartbeat record of the owner with the given member name.
 func OwnerRecord(member string) store.Record {
--- a/internal/engine/scheduler/records.go
+++ b/internal/engine/scheduler/records.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -10,9 +11,13 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
+	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
-// maxBatchBytes keeps an append well below the store's size limit for a call.
+// maxDeletions limits the deletions in one append.
+const maxDeletions = 1000
+
+// maxBatchBytes keeps an append of several jobs short. The state of one job may exceed it.
 const maxBatchBytes = 1 << 20
 
 const (
@@ -37,9 +42,9 @@
 	runWriter topicWriter
 	publisher *publisher
 	dirtyJobs []*job
-	// forgottenJobs are jobs whose records are to be deleted. obsoleteStates are jobs of
-	// which only state records are left to delete.
-	forgottenJobs, obsoleteStates []string
+	// forgottenJobs are jobs whose records are to be deleted. obsoleteKeys are the keys of
+	// state records to delete.
+	forgottenJobs, obsoleteKeys []string
 	// afterAppend holds functions to call once all earlier changes are in the store.
 	afterAppend []func()
 }
@@ -70,20 +75,19 @@
 	if t.runWriter.busy {
 		return
 	}
-	if len(t.dirtyJobs) == 0 && len(t.obsoleteStates) == 0 {
+	if len(t.dirtyJobs) == 0 && len(t.obsoleteKeys) == 0 {
 		t.runDeferred()
 		return
 	}
-	records, jobs := t.nextBatch()
-	after := t.afterAppend
-	t.afterAppend = nil
-	if len(t.dirtyJobs) > 0 {
-		// The batch is full: the orders wait for the remaining jobs.
-		t.afterAppend, after = after, nil
-	}
-	t.startAppend(&t.runWriter, records, func(t *term) {
-		for _, j := range jobs {
-			t.publishStatus(j)
+	b := t.nextBatch()
+	var after []func()
+	if len(t.dirtyJobs) == 0 {
+		after, t.afterAppend = t.afterAppend, nil
+	} // otherwise the orders wait for the remaining jobs
+	t.startAppend(&t.runWriter, b.records, func(t *term) {
+		for _, recorded := range b.jobs {
+			recorded.job.recorded = recorded.chunks
+			t.publishStatus(recorded.job)
 		}
 		for _, f := range after {
 			f()
@@ -93,9 +97,13 @@
 
 // publishStatus makes the recorded status of a job visible to callers.
 func (t *term) publishStatus(j *job) {
-	if header := string(j.recordedHeader); header != j.publishedHeader {
-		j.publishedHeader = header
-		t.publisher.update(j.ID, j.recordedHeader)
+	if len(j.recorded) == 0 || len(j.recorded[0]) < work.HeaderBytes {
+		return
+	}
+	header := j.recorded[0][:work.HeaderBytes]
+	if string(header) != j.publishedHeader {
+		j.publishedHeader = string(header)
+		t.publisher.update(j.ID, header)
 	}
 }
 
@@ -108,27 +116,67 @@
 	}
 }
 
-// nextBatch returns the next records to append and the jobs whose states they contain.
-func (t *term) nextBatch() ([]store.Record, []*job) {
-	var records []store.Record
-	var jobs []*job
-	for _, id := range t.obsoleteStates {
-		records = append(records, store.Record{Key: replica.StateKey(id)})
-		t.publisher.update(id, nil)
+// batch is the content of one append to TopicRuns.
+type batch struct {
+	records []store.Record
+	jobs    []recordedJob
+}
+
+// recordedJob is a job with the chunks of its state that are being recorded.
+type recordedJob struct {
+	job    *job
+	chunks [][]byte
+}
+
+// nextBatch returns what is to be appended next: at most maxBatchBytes, or the state of one
+// job. A job whose state exceeds the store's limits fails.
+func (t *term) nextBatch() *batch {
+	b := &batch{}
+	deleted := t.obsoleteKeys[:min(len(t.obsoleteKeys), maxDeletions)]
+	t.obsoleteKeys = t.obsoleteKeys[len(deleted):]
+	for _, key := range deleted {
+		b.records = append(b.records, store.Record{Key: key})
 	}
-	t.obsoleteStates = nil
-	size := 0
-	for len(t.dirtyJobs) > 0 && size < maxBatchBytes {
+	size := store.CallSize(b.records)
+	for len(t.dirtyJobs) > 0 {
 		j := t.dirtyJobs[0]
+		chunks := j.state.Encode(j.Job)
+		records := changedRecords(j, chunks)
+		err := t.StoreLimits.Check(records)
+		size += store.CallSize(records)
+		if err == nil && size > min(maxBatchBytes, t.StoreLimits.CallBytes) && len(b.records) > 0 {
+			break
+		}
 		t.dirtyJobs = t.dirtyJobs[1:]
 		j.dirty = false
-		value := j.state.Encode()
-		size += len(value)
-		records = append(records, store.Record{Key: replica.StateKey(j.ID), Value: value})
-		jobs = append(jobs, j)
-		j.recordedHeader = j.state.Header()
+		if err != nil && !j.state.Status.Ended() {
+			size -= store.CallSize(records)
+			t.finish(j, work.Failed, "its state cannot be stored: "+err.Error())
+			continue
+		}
+		b.records = append(b.records, records...)
+		b.jobs = append(b.jobs, recordedJob{j, chunks})
 	}
-	return records, jobs
+	return b
+}
+
+// changedRecords returns the records of a job's state that differ from those at the store.
+// Chunks that have become empty are deleted.
+func changedRecords(j *job, chunks [][]byte) []store.Record {
+	var records []store.Record
+	for i := range max(len(chunks), len(j.recorded)) {
+		var value, former []byte
+		if i < len(chunks) {
+			value = chunks[i]
+		}
+		if i < len(j.recorded) {
+			former = j.recorded[i]
+		}
+		if !bytes.Equal(value, former) {
+			records = append(records, store.Record{Key: replica.ChunkKey(j.ID, i), Value: value})
+		}
+	}
+	return records
 }
 
 // startAppend appends records in the background and then posts done.
@@ -205,6 +253,18 @@
 			t.log.Warn("cannot delete the records of ended jobs", zap.Int("jobs", len(ids)), zap.Error(err))
 			return
 		}
-		t.post(func(t *term) { t.obsoleteStates = append(t.obsoleteStates, ids...) })
+		t.post(func(t *term) {
+			for _, id := range ids {
+				t.deleteState(id, 1)
+			}
+		})
 	})
 }
+
+// deleteState schedules the deletion of the chunks of a job's state and of its status.
+func (t *term) deleteState(id string, chunks int) {
+	for chunk := range chunks {
+		t.obsoleteKeys = append(t.obsoleteKeys, replica.ChunkKey(id, chunk))
+	}
+	t.publisher.update(id, nil)
+}
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -15,9 +15,9 @@
 	state     *work.State
 	cancelled bool
 	dirty     bool
-	// recordedHeader is the header of the last state record that was sent to the store;
-	// publishedHeader is the one that callers see.
-	recordedHeader  []byte
+	// recorded holds the state's records at the store, by chunk. publishedHeader is the
+	// header of the state that callers see.
+	recorded        [][]byte
 	publishedHeader string
 	// runs are the job's runs that are not known to have ended.
 	runs map[*run]bool
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -90,10 +90,10 @@
 // inheritJobs adds all jobs with their recorded runs. State records without a job remain
 // from a deletion that was not completed.
 func (t *term) inheritJobs(records []store.Record) {
-	states := make(map[string][]byte, len(records))
+	states := map[string][][]byte{}
 	for _, r := range records {
-		if id, ok := replica.ParseStateKey(r.Key); ok && len(r.Value) > 0 {
-			states[id] = r.Value
+		if id, chunk, ok := replica.ParseChunkKey(r.Key); ok && len(r.Value) > 0 {
+			states[id] = setChunk(states[id], chunk, r.Value)
 		}
 	}
 	for id, e := range t.Jobs.All() {
@@ -110,25 +110,33 @@
 		}
 		t.publishStatus(j)
 	}
-	for id := range states {
-		t.obsoleteStates = append(t.obsoleteStates, id)
+	for id, chunks := range states {
+		t.deleteState(id, len(chunks))
 	}
 }
 
+// setChunk sets a chunk of a job's state, of which earlier chunks may be missing.
+func setChunk(chunks [][]byte, chunk int, value []byte) [][]byte {
+	for len(chunks) <= chunk {
+		chunks = append(chunks, nil)
+	}
+	chunks[chunk] = value
+	return chunks
+}
+
 // inheritJob adds a job with the state that a former owner recorded, if any. It returns
 // nil if the state cannot be decoded, because the job could then run twice.
-func (t *term) inheritJob(e replica.JobEntry, record []byte) *job {
+func (t *term) inheritJob(e replica.JobEntry, recorded [][]byte) *job {
 	state := work.NewState(e.Job)
-	if record != nil {
-		recorded, err := work.DecodeState(e.Job, record)
-		if err != nil {
+	if recorded != nil {
+		var err error
+		if state, err = work.DecodeState(e.Job, recorded); err != nil {
 			t.log.Error("cannot decode a job's state; ignoring the job", zap.String("job", e.Job.ID), zap.Error(err))
 			return nil
 		}
-		state = recorded
 	}
 	j := t.addJob(e.Job, state)
-	j.recordedHeader, j.publishedHeader = state.Header(), string(work.EncodeHeader(e.Status, e.Started))
+	j.recorded, j.publishedHeader = recorded, string(work.EncodeHeader(e.Status, e.Started))
 	if !state.Status.Ended() {
 		t.inheritRuns(j)
 		if j.anySuspect() {
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -221,7 +221,8 @@
 		j := t.jobs[id]
 		if j == nil {
 			// The job was submitted after the takeover, so it has no state record.
-			j = t.inheritJob(e, nil)
+			j = t.addJob(e.Job, work.NewState(e.Job))
+			j.publishedHeader = string(work.EncodeHeader(e.Status, e.Started))
 			t.log.Info("job seen", zap.String("job", id), zap.Int("priority", j.Priority),
 				zap.Int("steps", j.StepCount()), zap.Int("tasks", j.Steps[0].Tasks), zap.Int("chain_ms", j.CriticalPathMS()),
 				zap.Int64("objective_ms", j.DeadlineMS(0)-j.AcceptedMS), zap.Int64("age_ms", t.WallClock().UnixMilli()-j.AcceptedMS))
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -9,7 +9,7 @@
 )
 
 // MaxTasks is the largest number of tasks of a job over all occurrences. It keeps the
-// job's state within one record of the store.
+// job's state within one append to the store.
 const MaxTasks = 4096
 
 // Resources is an amount of resources: what a task requires, or what a worker has in
--- a/internal/engine/work/state.go
+++ b/internal/engine/work/state.go
@@ -1,10 +1,6 @@
 package work
 
-import (
-	"encoding/json"
-
-	"github.com/gravitational/trace"
-)
+import "github.com/gravitational/trace"
 
 // Status is the state of a job as callers see it.
 type Status byte
@@ -79,24 +75,10 @@
 const (
 	notStartedFlag = '0'
 	startedFlag    = '1'
-	// headerBytes is the length of the header. JSON follows it, so that hosts that only
-	// report statuses need not parse the JSON.
-	headerBytes = 2
+	// HeaderBytes is the length of the header, which hosts that only report statuses read.
+	HeaderBytes = 2
 )
 
-// Encode returns the state's record.
-func (s *State) Encode() []byte {
-	body := *s
-	if s.Status.Ended() {
-		body.Steps = nil
-	}
-	data, err := json.Marshal(&body)
-	if err != nil {
-		panic(err) // plain fields only
-	}
-	return append(s.Header(), data...)
-}
-
 // Header returns the header of the state's record, which holds what callers see of the
 // state.
 func (s *State) Header() []byte { return EncodeHeader(s.Status, s.Started) }
@@ -112,7 +94,7 @@
 
 // DecodeHeader returns the status in a state record and whether a task has been started.
 func DecodeHeader(record []byte) (Status, bool, error) {
-	if len(record) < headerBytes {
+	if len(record) < HeaderBytes {
 		return 0, false, trace.BadParameter("a state record of %d bytes is too short", len(record))
 	}
 	status := Status(record[0])
@@ -123,32 +105,6 @@
 	return 0, false, trace.BadParameter("a state record has the unknown status %q", record[0])
 }
 
-// DecodeState decodes a state record of the job. It returns an error if the record's
-// steps and tasks do not match those of the job.
-func DecodeState(j *Job, record []byte) (*State, error) {
-	status, started, err := DecodeHeader(record)
-	if err != nil {
-		return nil, err
-	}
-	s := &State{}
-	if err := json.Unmarshal(record[headerBytes:], s); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	s.Status, s.Started = status, started
-	if status.Ended() {
-		return s, nil
-	}
-	if len(s.Steps) != j.StepCount() {
-		return nil, trace.BadParameter("state of job %s has %d steps, but the job has %d", j.ID, len(s.Steps), j.StepCount())
-	}
-	for i := range s.Steps {
-		if len(s.Steps[i].Tasks) != j.StepAt(i).Tasks {
-			return nil, trace.BadParameter("state of job %s: step %d has %d tasks, but the job has %d", j.ID, i, len(s.Steps[i].Tasks), j.StepAt(i).Tasks)
-		}
-	}
-	return s, nil
-}
-
 // StepDone reports whether all tasks of the step are done.
 func (s *State) StepDone(step int) bool {
 	for i := range s.Steps[step].Tasks {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -25,6 +25,8 @@
 	Hangs bool
 	// CrashesWorker marks a task that crashes each worker that starts it.
 	CrashesWorker bool
+	// CheckpointPadding is the number of bytes that are added to each checkpoint.
+	CheckpointPadding int
 }
 
 // FleetOptions are the parameters of a fleet.
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -165,7 +166,8 @@
 	if p == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%08x", p.Milliseconds()) + r.name.Task.Job[:8]
+	padding := r.job.behaviour(r.name.Task.Step, r.name.Task.Index).CheckpointPadding
+	return fmt.Sprintf("%08x", p.Milliseconds()) + r.name.Task.Job[:8] + strings.Repeat("x", padding)
 }
 
 // decodeCheckpoint returns the progress in a checkpoint, or 0 if it is malformed.
