Fail only the job whose append the store rejects for good

Cause: an append that the store rejects for good was repeated for ever, and while it was, nothing was planned, recorded or acknowledged for anybody. A rejected status stopped all statuses and the heartbeat, so the owner changed again and again; one rejected deletion kept the records of all other ended jobs; a rejected status of a wave was repeated for ever. Change: a rejected batch is split until the record at fault is alone. Its job fails once the store has accepted the record of the failed job; a store that rejects that too rejects everything, and the job waits as in an outage. A rejected append does not use up its sequence number; a rejection after an attempt without an answer ends the term, because the number may be in use. Conclusion: one job's record costs the others some appends once.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -49,6 +49,7 @@
 	hosts           map[string]*testHost
 	start           time.Time
 	log             *zap.Logger
+	limits          store.Limits
 	manifestVersion int64
 	cpuShares       map[string]float64 // share of a core by host; 0 if a test does not set it
 	advisor         *standin.Advisor
@@ -82,6 +83,8 @@
 	newIDAfterCrash bool
 	// staleEntries keeps the entries of workers unchanged while the store is unavailable.
 	staleEntries bool
+	// limits are the store's limits according to the settings; none means those that it has.
+	limits store.Limits
 }
 
 func newCluster(t *testing.T, o clusterOptions) *cluster {
@@ -89,9 +92,12 @@
 	if o.log == nil {
 		o.log = zap.NewNop()
 	}
+	if o.limits == (store.Limits{}) {
+		o.limits = standin.StoreLimits
+	}
 	s := standin.NewStore(o.seed)
 	ctx, cancel := context.WithCancel(t.Context())
-	c := &cluster{t: t, store: s, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
+	c := &cluster{t: t, store: s, limits: o.limits, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
 	c.fleet = standin.NewFleet(standin.FleetOptions{
 		MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries,
@@ -180,7 +186,7 @@
 			MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, StatusRetention: 2 * time.Minute,
 			WorkerHeartbeatInterval: heartbeatInterval, HolderLease: 3 * time.Second, UpkeepDuration: 2 * time.Second,
 		},
-		StoreLimits: standin.StoreLimits, MaxRevocationDelay: 5 * time.Second, MinMembershipTTL: time.Second, Now: c.clock, WallClock: func() time.Time { return c.readWallClock(name) },
+		StoreLimits: c.limits, MaxRevocationDelay: 5 * time.Second, MinMembershipTTL: time.Second, Now: c.clock, WallClock: func() time.Time { return c.readWallClock(name) },
 		Metrics: gometrics.NewRegistry(), Logger: c.log.With(zap.String("host", name)),
 	})
 	h := &testHost{Engine: e, name: name, cancel: cancel, done: make(chan struct{})}
--- a/internal/engine/rejections_test.go
+++ b/internal/engine/rejections_test.go
@@ -1,8 +1,10 @@
 package engine_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,17 +17,32 @@
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
 
-// otherJobs submits short jobs of another organisation.
+// maxRejections is a bound of the appends that one record at fault may cost.
+const maxRejections = 20
+
+// otherJobs submits short jobs of another organisation at the same time.
 func (c *cluster) otherJobs(count int) []work.Job {
-	var jobs []work.Job
-	for n := range count {
-		j := newJob(100+n, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 1000})
-		c.submitWithKey("guest-key", "normal", j, standin.Behaviour{Work: time.Second})
-		jobs = append(jobs, j)
+	jobs := make([]work.Job, count)
+	var group sync.WaitGroup
+	for n := range jobs {
+		jobs[n] = newJob(100+n, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 1000})
+		group.Go(func() { c.submitWithKey("guest-key", "normal", jobs[n], standin.Behaviour{Work: time.Second}) })
 	}
+	group.Wait()
 	return jobs
 }
 
+// checkRecorded fails the test if a job has runs without a record.
+func (c *cluster) checkRecorded(jobs []work.Job) {
+	c.t.Helper()
+	for _, j := range jobs {
+		r, _ := c.store.Newest(replica.TopicRuns, replica.StateKey(j.ID))
+		if len(c.activeRuns(j)) > 0 && len(r.Value) == 0 {
+			c.t.Errorf("job %s has runs and no record", j.ID)
+		}
+	}
+}
+
 // awaitCompleted waits until the jobs are completed.
 func (c *cluster) awaitCompleted(jobs []work.Job, within time.Duration) {
 	c.t.Helper()
@@ -48,25 +65,9 @@
 	return count
 }
 
-// TestOversizedSubmissionIsRejected guards against a job that is accepted, or to be tried again, although no record can hold it.
-func TestOversizedSubmissionIsRejected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, clusterOptions{hosts: 1, workers: 1})
-		defer c.close()
-		step := work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 1000, RequiredLabel: strings.Repeat("l", 60)}
-		j := newJob(1, slices.Repeat([]work.Step{step}, 3000)...)
-		a := c.anyHost().Intake.Submit(t.Context(), newCall("/normal/"+j.ID), j)
-		if a.Outcome != intake.BadJob || a.RetryAfter != 0 || !strings.Contains(a.Reason, "262144") {
-			t.Errorf("got %v, %q, retry after %s", a.Outcome, a.Reason, a.RetryAfter)
-		}
-		c.rejectRecords(replica.TopicJobs, func(r store.Record) bool { return r.Key == replica.JobKey(j.ID) })
-		j.Steps = j.Steps[:1]
-		start := time.Now()
-		a = c.anyHost().Intake.Submit(t.Context(), newCall("/normal/"+j.ID), j)
-		if a.Outcome != intake.BadJob || a.RetryAfter != 0 || time.Since(start) > 100*time.Millisecond {
-			t.Errorf("after %s: %v, %q, retry after %s", time.Since(start), a.Outcome, a.Reason, a.RetryAfter)
-		}
-	})
+// largeState selects the records of a job's state that hold tasks.
+func largeState(id string) func(store.Record) bool {
+	return func(r store.Record) bool { return r.Key == replica.StateKey(id) && len(r.Value) > 10 }
 }
 
 // TestLargeJobDoesNotStopOthers guards against a job whose state outgrows a record of the store, after which nothing was started for anybody.
@@ -125,3 +126,170 @@
 		})
 	}
 }
+
+// TestRejectedStateFailsOnlyItsJob guards against a rejected append that is repeated for ever, while nothing is started for other jobs.
+func TestRejectedStateFailsOnlyItsJob(t *testing.T) {
+	for _, faults := range []standin.StoreFaults{{}, {LostRate: 0.2}, {ExtraLatency: 100 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%+v", faults), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+				defer c.close()
+				bad := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 1000})
+				count := c.rejectRecords(replica.TopicRuns, largeState(bad.ID))
+				c.store.SetFaults(faults)
+				go c.submit("normal", bad, standin.Behaviour{Work: time.Second})
+				others := c.otherJobs(8)
+				for range 20 {
+					time.Sleep(100 * time.Millisecond)
+					c.checkRecorded(others)
+				}
+				c.awaitCompleted(others, 20*time.Second)
+				c.awaitStatus(bad.ID, work.Failed, 20*time.Second)
+				if n := count.Load(); n == 0 || n > maxRejections {
+					t.Errorf("%d appends were rejected, want 1 to %d", n, maxRejections)
+				}
+				if runs := c.fleet.Ledger().Runs(work.TaskName{Job: bad.ID}); len(runs) > 0 {
+					t.Errorf("%d runs were started without a record", len(runs))
+				}
+			})
+		})
+	}
+}
+
+// TestStateBeyondLimitsFailsOnlyItsJob guards against appends that the limits of the settings rule out, and against what follows from them.
+func TestStateBeyondLimitsFailsOnlyItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := store.Limits{RecordBytes: 3200, CallBytes: 64 << 10}
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4, limits: limits})
+		defer c.close()
+		count := c.rejectRecords(replica.TopicRuns, func(r store.Record) bool { return r.Size() > limits.RecordBytes })
+		step := work.Step{Tasks: 1, Demand: work.Resources{CPU: 1000}, EstimateMS: 4000, SavesProgress: true}
+		bad := newJob(1, slices.Repeat([]work.Step{step}, 40)...)
+		c.submit("normal", bad, standin.Behaviour{Work: 4 * time.Second, Failures: 1, CheckpointPadding: 80})
+		c.awaitStatus(bad.ID, work.Failed, 20*time.Second)
+		c.awaitCompleted(c.otherJobs(4), 20*time.Second)
+		if n := count.Load(); n > 0 {
+			t.Errorf("%d appends beyond the limit were sent", n)
+		}
+	})
+}
+
+// TestRejectionStopsRunsOfItsJob guards against runs that continue after the store has rejected their job's state.
+func TestRejectionStopsRunsOfItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		bad := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 60_000}, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 1000})
+		c.submitTasks("key", "normal", bad, func(step, _ int) standin.Behaviour {
+			return standin.Behaviour{Work: []time.Duration{time.Minute, 3 * time.Second}[step]}
+		})
+		time.Sleep(2 * time.Second)
+		c.rejectRecords(replica.TopicRuns, largeState(bad.ID))
+		c.awaitStatus(bad.ID, work.Failed, 10*time.Second)
+		time.Sleep(3 * time.Second)
+		if n := len(c.activeRuns(bad)); n > 0 {
+			t.Errorf("%d runs of a failed job are left", n)
+		}
+		c.awaitCompleted(c.otherJobs(2), 10*time.Second)
+	})
+}
+
+// TestRejectionOfEverythingIsAnOutage guards against jobs that fail because the store rejects all appends for a while.
+func TestRejectionOfEverythingIsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		c.rejectRecords(replica.TopicRuns, func(store.Record) bool { return true })
+		jobs := c.otherJobs(3)
+		time.Sleep(10 * time.Second)
+		c.store.SetInvalid(nil)
+		c.awaitCompleted(jobs, 20*time.Second)
+	})
+}
+
+// TestStatusesFollowRejectionOfEverything guards against statuses that callers never see because the store rejected all appends for a moment.
+func TestStatusesFollowRejectionOfEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		jobs := c.otherJobs(3)
+		time.Sleep(900 * time.Millisecond)
+		c.rejectRecords(replica.TopicStatuses, func(store.Record) bool { return true })
+		time.Sleep(400 * time.Millisecond)
+		c.store.SetInvalid(nil)
+		c.awaitCompleted(jobs, 5*time.Second)
+	})
+}
+
+// TestRejectedStatusLeavesOthersVisible guards against an owner without heartbeat, and statuses that callers never see, because the store rejects one status.
+func TestRejectedStatusLeavesOthersVisible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 4})
+		defer c.close()
+		owner := c.owner()
+		bad := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 1000})
+		count := c.rejectRecords(replica.TopicStatuses, func(r store.Record) bool { return r.Key == replica.StateKey(bad.ID) })
+		c.submit("normal", bad, standin.Behaviour{Work: time.Second})
+		c.awaitCompleted(c.otherJobs(6), 20*time.Second)
+		time.Sleep(10 * time.Second)
+		if c.owner() != owner {
+			t.Error("the owner has changed")
+		}
+		if n := count.Load(); n == 0 || n > 2*maxRejections {
+			t.Errorf("%d appends were rejected, want 1 to %d", n, 2*maxRejections)
+		}
+	})
+}
+
+// TestRejectedDeletionLeavesOthersDeleted guards against records of ended jobs that stay at the store because it rejects the deletion of one.
+func TestRejectedDeletionLeavesOthersDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		jobs := c.otherJobs(4)
+		c.awaitCompleted(jobs, 20*time.Second)
+		c.rejectRecords(replica.TopicJobs, func(r store.Record) bool { return r.Key == replica.JobKey(jobs[1].ID) && len(r.Value) == 0 })
+		time.Sleep(4 * time.Minute)
+		for i, j := range jobs {
+			if _, kept := c.store.Newest(replica.TopicJobs, replica.JobKey(j.ID)); kept != (i == 1) {
+				t.Errorf("record of job %d is kept: %v", i, kept)
+			}
+		}
+	})
+}
+
+// TestRejectedWaveStatusLeavesJobsRunning guards against a loop that waits for ever for the status of a wave.
+func TestRejectedWaveStatusLeavesJobsRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 4})
+		defer c.close()
+		count := c.rejectRecords(statusTopic, func(store.Record) bool { return true })
+		c.store.Put(operatorTopic, store.Record{Key: "wave/1", Value: []byte(`{"Number":1,"Machines":["w00","w01"],"TimeLimit":30000000000,"MaxDown":1}`)})
+		time.Sleep(15 * time.Second)
+		c.awaitCompleted(c.otherJobs(4), 20*time.Second)
+		if n := count.Load(); n == 0 || n > maxRejections {
+			t.Errorf("%d appends were rejected, want 1 to %d", n, maxRejections)
+		}
+	})
+}
+
+// TestOversizedSubmissionIsRejected guards against a job that is accepted, or to be tried again, although no record can hold it.
+func TestOversizedSubmissionIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 1})
+		defer c.close()
+		step := work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 1000, RequiredLabel: strings.Repeat("l", 60)}
+		j := newJob(1, slices.Repeat([]work.Step{step}, 3000)...)
+		a := c.anyHost().Intake.Submit(t.Context(), newCall("/normal/"+j.ID), j)
+		if a.Outcome != intake.BadJob || a.RetryAfter != 0 || !strings.Contains(a.Reason, "262144") {
+			t.Errorf("got %v, %q, retry after %s", a.Outcome, a.Reason, a.RetryAfter)
+		}
+		c.rejectRecords(replica.TopicJobs, func(r store.Record) bool { return r.Key == replica.JobKey(j.ID) })
+		j.Steps = j.Steps[:1]
+		start := time.Now()
+		a = c.anyHost().Intake.Submit(t.Context(), newCall("/normal/"+j.ID), j)
+		if a.Outcome != intake.BadJob || a.RetryAfter != 0 || time.Since(start) > 100*time.Millisecond {
+			t.Errorf("after %s: %v, %q, retry after %s", time.Since(start), a.Outcome, a.Reason, a.RetryAfter)
+		}
+	})
+}
--- a/internal/engine/scheduler/publisher.go
+++ b/internal/engine/scheduler/publisher.go
@@ -41,24 +41,50 @@
 	p.mu.Lock()
 	p.updates[job] = header
 	p.mu.Unlock()
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
+	p.signal()
 }
 
-// takeRecords returns the records of all scheduled updates and clears them.
+// maxStatusesPerAppend limits the statuses in one append.
+const maxStatusesPerAppend = 4096
+
+// takeRecords returns the records of scheduled updates, at most maxStatusesPerAppend, and
+// removes them.
 func (p *publisher) takeRecords() []store.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	records := make([]store.Record, 0, len(p.updates)+1)
+	records := make([]store.Record, 0, min(len(p.updates), maxStatusesPerAppend)+1)
 	for id, header := range p.updates {
+		if len(records) == maxStatusesPerAppend {
+			p.signal()
+			break
+		}
 		records = append(records, store.Record{Key: replica.StateKey(id), Value: header})
+		delete(p.updates, id)
 	}
-	clear(p.updates)
 	return records
 }
 
+// restore schedules updates again that were taken but not written, unless there are newer
+// ones.
+func (p *publisher) restore(records []store.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range records {
+		id, _, _ := replica.ParseChunkKey(r.Key)
+		if _, newer := p.updates[id]; !newer {
+			p.updates[id] = r.Value
+		}
+	}
+}
+
+// signal wakes runPublisher.
+func (p *publisher) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // runPublisher writes statuses and heartbeats until the term ends.
 func (t *term) runPublisher() {
 	p := t.publisher
@@ -82,8 +108,7 @@
 			continue
 		}
 		stalled = false
-		records = append(records, replica.OwnerRecord(t.Elector.Member()))
-		if !t.appendUntilDone(&p.writer, p.writer.nextPosition(t.epoch), records) {
+		if !t.publishUpdates(records) {
 			return
 		}
 	}
--- a/internal/engine/scheduler/records.go
+++ b/internal/engine/scheduler/records.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
@@ -14,9 +17,6 @@
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
-// maxDeletions limits the deletions in one append.
-const maxDeletions = 1000
-
 // maxBatchBytes keeps an append of several jobs short. The state of one job may exceed it.
 const maxBatchBytes = 1 << 20
 
@@ -47,6 +47,10 @@
 	forgottenJobs, obsoleteKeys []string
 	// afterAppend holds functions to call once all earlier changes are in the store.
 	afterAppend []func()
+	// maxBatchLen limits the jobs and deletions in a batch after a rejection; 0 means no limit.
+	maxBatchLen int
+	// nextAppendAt is the earliest time of the next append.
+	nextAppendAt time.Duration
 }
 
 // markDirty marks a job as changed.
@@ -72,7 +76,7 @@
 // flushRuns writes the states of changed jobs, or calls the deferred functions at once if
 // there is nothing to write.
 func (t *term) flushRuns() {
-	if t.runWriter.busy {
+	if t.runWriter.busy || t.Now() < t.nextAppendAt {
 		return
 	}
 	if len(t.dirtyJobs) == 0 && len(t.obsoleteKeys) == 0 {
@@ -84,7 +88,12 @@
 	if len(t.dirtyJobs) == 0 {
 		after, t.afterAppend = t.afterAppend, nil
 	} // otherwise the orders wait for the remaining jobs
-	t.startAppend(&t.runWriter, b.records, func(t *term) {
+	t.startAppend(&t.runWriter, b.records, func(t *term, err error) {
+		if err != nil {
+			t.afterAppend = append(after, t.afterAppend...)
+			t.isolateRejected(b, err)
+			return
+		}
 		for _, recorded := range b.jobs {
 			recorded.job.recorded = recorded.chunks
 			t.publishStatus(recorded.job)
@@ -119,6 +128,8 @@
 // batch is the content of one append to TopicRuns.
 type batch struct {
 	records []store.Record
+	size    int      // bytes of the records in an append
+	deleted []string // keys of the records that are deleted
 	jobs    []recordedJob
 }
 
@@ -128,38 +139,57 @@
 	chunks [][]byte
 }
 
+// len returns the number of records of the batch that can be tried separately.
+func (b *batch) len() int { return len(b.deleted) + len(b.jobs) }
+
 // nextBatch returns what is to be appended next: at most maxBatchBytes, or the state of one
-// job. A job whose state exceeds the store's limits fails.
+// job.
 func (t *term) nextBatch() *batch {
 	b := &batch{}
-	deleted := t.obsoleteKeys[:min(len(t.obsoleteKeys), maxDeletions)]
-	t.obsoleteKeys = t.obsoleteKeys[len(deleted):]
-	for _, key := range deleted {
+	maxLen := t.maxBatchLen
+	if maxLen == 0 {
+		maxLen = math.MaxInt
+	}
+	b.deleted = t.obsoleteKeys[:min(len(t.obsoleteKeys), maxDeletions, maxLen)]
+	t.obsoleteKeys = t.obsoleteKeys[len(b.deleted):]
+	for _, key := range b.deleted {
 		b.records = append(b.records, store.Record{Key: key})
 	}
-	size := store.CallSize(b.records)
-	for len(t.dirtyJobs) > 0 {
+	b.size = store.CallSize(b.records)
+	for len(t.dirtyJobs) > 0 && b.len() < maxLen {
 		j := t.dirtyJobs[0]
-		chunks := j.state.Encode(j.Job)
-		records := changedRecords(j, chunks)
-		err := t.StoreLimits.Check(records)
-		size += store.CallSize(records)
-		if err == nil && size > min(maxBatchBytes, t.StoreLimits.CallBytes) && len(b.records) > 0 {
+		if !t.addToBatch(b, j) {
 			break
 		}
 		t.dirtyJobs = t.dirtyJobs[1:]
-		j.dirty = false
-		if err != nil && !j.state.Status.Ended() {
-			size -= store.CallSize(records)
-			t.finish(j, work.Failed, "its state cannot be stored: "+err.Error())
-			continue
-		}
-		b.records = append(b.records, records...)
-		b.jobs = append(b.jobs, recordedJob{j, chunks})
+	}
+	if len(t.dirtyJobs) == 0 && len(t.obsoleteKeys) == 0 {
+		t.maxBatchLen = 0
 	}
 	return b
 }
 
+// addToBatch adds the changed records of a job, and reports false if the batch has no room
+// for them. A job whose state exceeds the store's limits fails.
+func (t *term) addToBatch(b *batch, j *job) bool {
+	chunks := j.state.Encode(j.Job)
+	records := changedRecords(j, chunks)
+	if err := t.StoreLimits.Check(records); err != nil && !j.state.Status.Ended() {
+		j.dirty = false
+		t.finish(j, work.Failed, "its state cannot be stored: "+err.Error())
+		return true
+	}
+	size := store.CallSize(records)
+	if b.size+size > min(maxBatchBytes, t.StoreLimits.CallBytes) && len(b.records) > 0 {
+		return false
+	}
+	j.dirty = false
+	b.size += size
+	b.records = append(b.records, records...)
+	b.jobs = append(b.jobs, recordedJob{j, chunks})
+	return true
+}
+
 // changedRecords returns the records of a job's state that differ from those at the store.
 // Chunks that have become empty are deleted.
 func changedRecords(j *job, chunks [][]byte) []store.Record {
@@ -179,62 +209,93 @@
 	return records
 }
 
-// startAppend appends records in the background and then posts done.
-func (t *term) startAppend(w *topicWriter, records []store.Record, done func(*term)) {
+// startAppend appends records in the background and then posts done, with an error that wraps
+// store.ErrInvalid if the store rejects them for good.
+func (t *term) startAppend(w *topicWriter, records []store.Record, done func(*term, error)) {
 	w.busy = true
-	position := w.nextPosition(t.epoch)
 	t.spawn(func() {
-		if !t.appendUntilDone(w, position, records) {
-			return
+		err := t.appendUntilDone(w, records)
+		if err != nil && !isInvalid(err) {
+			return // the term is over
 		}
 		t.post(func(t *term) {
 			w.busy = false
-			done(t)
+			done(t, err)
 		})
 	})
 }
 
-// nextPosition returns the position of the next append.
-func (w *topicWriter) nextPosition(epoch int64) store.Position {
-	p := store.Position{Producer: producer, Epoch: epoch, Seq: w.seq}
-	w.seq++
-	return p
+// position returns the position of the next append.
+func (w *topicWriter) position(epoch int64) store.Position {
+	return store.Position{Producer: producer, Epoch: epoch, Seq: w.seq}
 }
 
-// appendUntilDone repeats the call until the store answers, and reports whether the store
-// has the records. Repeating it with the same sequence number is harmless: the store
-// returns the first answer again. If a later epoch has written, it ends the term.
-func (t *term) appendUntilDone(w *topicWriter, position store.Position, records []store.Record) bool {
+// appendUntilDone repeats the call until the store answers. Repeating it with the same
+// sequence number is harmless: the store returns the first answer again. An append that the
+// store rejects for good is not repeated, does not use its sequence number, and returns an
+// error that wraps store.ErrInvalid. After any other error the term is over.
+func (t *term) appendUntilDone(w *topicWriter, records []store.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	position := w.position(t.epoch)
 	began := t.Now()
+	maybeAppended := false // whether an earlier attempt may have succeeded
 	for attempt := 1; ; attempt++ {
-		sent := t.Now()
-		ctx, cancel := context.WithTimeout(t.ctx, store.AttemptTimeout(attempt, time.Duration(w.lastAppendNS.Load())))
-		_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
-		cancel()
-		var sequenceErr *store.SequenceError
-		if errors.As(err, &sequenceErr) && sequenceErr.Expected == position.Seq+1 {
-			err = nil // the store already has this append
-		}
+		err := t.tryAppend(w, position, records, attempt)
 		if err == nil {
-			w.lastAppendNS.Store(int64(t.Now() - sent))
+			w.seq++
 			t.metrics.appendTime.Update(t.Now() - began)
-			return true
+			return nil
 		}
-		if errors.Is(err, store.ErrFenced) || errors.As(err, &sequenceErr) {
+		var sequenceErr *store.SequenceError
+		switch {
+		case errors.Is(err, store.ErrFenced) || errors.As(err, &sequenceErr):
 			t.post(func(t *term) { t.endFenced("the store") })
-			return false
+			return trace.Wrap(store.ErrFenced)
+		case isInvalid(err) && !maybeAppended:
+			t.metrics.rejectedAppends.Inc(1)
+			return err
+		case isInvalid(err):
+			// The sequence number may be in use, so only a new epoch is safe.
+			t.log.Error("an append was rejected after an attempt without an answer; ending the term", zap.String("topic", w.topic), zap.Error(err))
+			t.post(func(t *term) { t.endErr = trace.Wrap(store.ErrFenced) })
+			return trace.Wrap(store.ErrFenced)
 		}
+		maybeAppended = maybeAppended || !errors.Is(err, store.ErrRefused)
 		if attempt == 1 {
 			t.log.Warn("an append got no answer; repeating it", zap.String("topic", w.topic), zap.Int64("seq", position.Seq), zap.Error(err))
 		}
 		select {
 		case <-t.ctx.Done():
-			return false
+			return t.ctx.Err()
 		case <-time.After(min(appendRetryDelay*time.Duration(attempt), maxAppendRetryDelay)):
 		}
 	}
 }
 
+// tryAppend makes one attempt of an append.
+func (t *term) tryAppend(w *topicWriter, position store.Position, records []store.Record, attempt int) error {
+	sent := t.Now()
+	ctx, cancel := context.WithTimeout(t.ctx, store.AttemptTimeout(attempt, time.Duration(w.lastAppendNS.Load())))
+	defer cancel()
+	_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
+	var sequenceErr *store.SequenceError
+	if errors.As(err, &sequenceErr) && sequenceErr.Expected == position.Seq+1 {
+		err = nil // the store already has this append
+	}
+	if err == nil {
+		w.lastAppendNS.Store(int64(t.Now() - sent))
+	}
+	return err
+}
+
+// isInvalid reports whether the store rejected a call for good.
+func isInvalid(err error) bool { return errors.Is(err, store.ErrInvalid) }
+
+// maxDeletions limits the deletions in one append.
+const maxDeletions = 1000
+
 // deleteForgotten deletes the records of forgotten jobs. The job's own record is deleted
 // before its state, because a job without a state would run again. If the deletion fails,
 // the records are left to the next term.
@@ -244,21 +305,34 @@
 	}
 	ids := t.forgottenJobs
 	t.forgottenJobs = nil
-	var submissions []store.Record
-	for _, id := range ids {
-		submissions = append(submissions, store.Record{Key: replica.JobKey(id)}, store.Record{Key: replica.CancelKey(id)})
-	}
 	t.spawn(func() {
-		if _, err := t.Store.Append(t.ctx, replica.TopicJobs, submissions); err != nil {
-			t.log.Warn("cannot delete the records of ended jobs", zap.Int("jobs", len(ids)), zap.Error(err))
-			return
+		for chunk := range slices.Chunk(ids, maxDeletions) {
+			t.deleteSubmissions(chunk)
 		}
+	})
+}
+
+// deleteSubmissions deletes the submissions and cancellations of jobs, and then has their
+// states deleted. If the store rejects a deletion for good, the others are executed.
+func (t *term) deleteSubmissions(ids []string) {
+	var records []store.Record
+	for _, id := range ids {
+		records = append(records, store.Record{Key: replica.JobKey(id)}, store.Record{Key: replica.CancelKey(id)})
+	}
+	_, err := t.Store.Append(t.ctx, replica.TopicJobs, records)
+	switch {
+	case err == nil:
 		t.post(func(t *term) {
 			for _, id := range ids {
 				t.deleteState(id, 1)
 			}
 		})
-	})
+	case isInvalid(err) && len(ids) > 1:
+		t.deleteSubmissions(ids[:len(ids)/2])
+		t.deleteSubmissions(ids[len(ids)/2:])
+	default:
+		t.log.Warn("cannot delete the records of ended jobs", zap.Int("jobs", len(ids)), zap.Error(err))
+	}
 }
 
 // deleteState schedules the deletion of the chunks of a job's state and of its status.
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -131,6 +131,8 @@
 	unansweredStarts, panics              gometrics.Counter
 	// crashFailures counts jobs that were failed because their tasks crash workers.
 	workerCrashes, crashFailures gometrics.Counter
+	// rejectedAppends counts appends that the store rejected for good.
+	rejectedAppends gometrics.Counter
 }
 
 func newMetrics(r gometrics.Registry) metrics {
@@ -142,7 +144,8 @@
 		starts: counter("starts"), stops: counter("stops"), preemptions: counter("preemptions"),
 		takeovers: counter("takeovers"), unansweredStarts: counter("starts_unanswered"), panics: counter("panics"),
 		workerCrashes: counter("worker_crashes"), crashFailures: counter("crash_failures"),
-		appendTime: timer("append"), startTime: timer("start"), waitTime: timer("wait"), planTime: timer("plan"), roundTime: timer("round"),
+		rejectedAppends: counter("rejected_appends"),
+		appendTime:      timer("append"), startTime: timer("start"), waitTime: timer("wait"), planTime: timer("plan"), roundTime: timer("round"),
 		startAnswers: map[workers.Outcome]gometrics.Counter{}, runEndings: map[workers.Ending]gometrics.Counter{},
 	}
 	for o := workers.Accepted; o <= workers.NotSent; o++ {
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -71,7 +71,8 @@
 func (t *term) fenceFormerOwners(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	fence := func(w *topicWriter, records ...store.Record) {
-		position := w.nextPosition(t.epoch)
+		position := w.position(t.epoch)
+		w.seq++
 		group.Go(func() error {
 			_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
 			var sequenceErr *store.SequenceError
--- a/internal/engine/scheduler/upkeep.go
+++ b/internal/engine/scheduler/upkeep.go
@@ -287,12 +287,16 @@
 	t.log.Info("wave of upkeep", zap.Int64("wave", wave.Number), zap.String("status", status))
 }
 
-// flushWaveStatuses writes the queued statuses.
+// flushWaveStatuses writes the next queued status.
 func (t *term) flushWaveStatuses() {
 	if t.waves.writer.busy || len(t.waves.pendingStatuses) == 0 {
 		return
 	}
-	records := t.waves.pendingStatuses
-	t.waves.pendingStatuses = nil
-	t.startAppend(&t.waves.writer, records, func(*term) {})
+	record := t.waves.pendingStatuses[0]
+	t.waves.pendingStatuses = t.waves.pendingStatuses[1:]
+	t.startAppend(&t.waves.writer, []store.Record{record}, func(t *term, err error) {
+		if err != nil {
+			t.log.Error("the store rejected the status of a wave; the operator does not see it", zap.String("key", record.Key), zap.Error(err))
+		}
+	})
 }
--- a/internal/engine/tenure/claim.go
+++ b/internal/engine/tenure/claim.go
@@ -44,7 +44,10 @@
 	}
 	own := takeoverClaim{subject: subject, member: e.Member(), wallMS: e.WallClock().UnixMilli()}
 	if _, err := e.Store.AppendAt(ctx, claimTopic, end, []store.Record{{Key: claimKey, Value: []byte(own.String())}}); err != nil {
-		if !errors.Is(err, store.ErrConflict) {
+		switch {
+		case errors.Is(err, store.ErrInvalid):
+			e.Logger.Error("the store rejects this host's claim of the takeover", zap.Error(err))
+		case !errors.Is(err, store.ErrConflict):
 			e.Logger.Debug("the takeover cannot be claimed", zap.Error(err))
 		}
 		return false
