End a job whose recorded state cannot be decoded

Cause: a takeover ignored such a job. It stayed running for its caller for ever, and no owner ever wrote its record again. Change: the job ends as its record's first byte, its status or its cancellation say, or else as failed, with the reason in the log; its runs are stopped. It is not started again, because it may have completed tasks that nothing else knows of. Measured: TestUnreadableStateEndsItsJob failed before (the job had not ended within 10 s and its record was still the damaged one) and passes now.

--- a/internal/engine/rejections_test.go
+++ b/internal/engine/rejections_test.go
@@ -293,3 +293,30 @@
 		}
 	})
 }
+
+// TestUnreadableStateEndsItsJob guards against a job that vanishes, or whose tasks run again, because a new owner cannot read its state.
+func TestUnreadableStateEndsItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 4})
+		defer c.close()
+		bad := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 60_000})
+		c.submit("normal", bad, standin.Behaviour{Work: time.Minute})
+		ended := c.otherJobs(1)
+		c.awaitCompleted(ended, 10*time.Second)
+		c.crash("host-0")
+		c.store.Put(replica.TopicRuns, store.Record{Key: replica.StateKey(bad.ID), Value: []byte("r1?")}, store.Record{Key: replica.StateKey(ended[0].ID), Value: []byte("d")})
+		c.addHost("host-0")
+		c.awaitStatus(bad.ID, work.Failed, 10*time.Second)
+		c.awaitStatus(ended[0].ID, work.Completed, time.Second)
+		time.Sleep(15 * time.Second)
+		if n := len(c.activeRuns(bad)); n > 0 {
+			t.Errorf("%d runs of a failed job are left", n)
+		}
+		if n := len(c.fleet.Ledger().Runs(work.TaskName{Job: bad.ID})); n != 1 {
+			t.Errorf("the first task had %d runs", n)
+		}
+		if r, _ := c.store.Newest(replica.TopicRuns, replica.StateKey(bad.ID)); len(r.Value) == 0 || r.Value[0] != byte(work.Failed) {
+			t.Errorf("the record is %q", r.Value)
+		}
+	})
+}
--- a/internal/engine/scheduler/rejections.go
+++ b/internal/engine/scheduler/rejections.go
@@ -69,6 +69,27 @@
 	})
 }
 
+// inheritUnreadable adds a job whose recorded state cannot be decoded. Which of its tasks have
+// run is not known, and they must not run twice, so the job ends as failed unless the record
+// or the status says how it ended. Workers are told to stop its runs.
+func (t *term) inheritUnreadable(e replica.JobEntry, recorded [][]byte, cause error) *job {
+	state := &work.State{Status: work.Failed, Started: e.Started, EndedMS: t.WallClock().UnixMilli()}
+	status, _, err := work.DecodeHeader(recorded[0])
+	switch {
+	case err == nil && status.Ended():
+		state.Status = status
+	case e.Status.Ended():
+		state.Status = e.Status
+	case e.Cancelled:
+		state.Status = work.Cancelled
+	}
+	t.log.Error("the state of a job cannot be decoded; ending the job", zap.String("job", e.Job.ID), zap.String("status", string(rune(state.Status))), zap.Error(cause))
+	j := t.addJob(e.Job, state)
+	j.recorded, j.publishedHeader = recorded, string(work.EncodeHeader(e.Status, e.Started))
+	t.markDirty(j)
+	return j
+}
+
 // publishUpdates writes status records and the owner's heartbeat. It reports false when the
 // term is over.
 func (t *term) publishUpdates(updates []store.Record) bool {
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -103,9 +103,6 @@
 		}
 		j := t.inheritJob(e, states[id])
 		delete(states, id)
-		if j == nil {
-			continue
-		}
 		if e.Cancelled {
 			t.cancel(j)
 		}
@@ -125,16 +122,15 @@
 	return chunks
 }
 
-// inheritJob adds a job with the state that a former owner recorded, if any. It returns
-// nil if the state cannot be decoded, because the job could then run twice.
+// inheritJob adds a job with the state that a former owner recorded, if any.
 func (t *term) inheritJob(e replica.JobEntry, recorded [][]byte) *job {
 	state := work.NewState(e.Job)
+	var err error
 	if recorded != nil {
-		var err error
-		if state, err = work.DecodeState(e.Job, recorded); err != nil {
-			t.log.Error("cannot decode a job's state; ignoring the job", zap.String("job", e.Job.ID), zap.Error(err))
-			return nil
-		}
+		state, err = work.DecodeState(e.Job, recorded)
+	}
+	if err != nil {
+		return t.inheritUnreadable(e, recorded, err)
 	}
 	j := t.addJob(e.Job, state)
 	j.recorded, j.publishedHeader = recorded, string(work.EncodeHeader(e.Status, e.Started))
