Test the takeover of a state in the former format

Cause: only a unit test showed that a state of an earlier release is read. Change: TestFormerStateIsTakenOver crashes the owner, puts the state back in the former format and lets the next owner finish the job. Conclusion: a landing may take over from the one before.

--- a/internal/engine/rejections_test.go
+++ b/internal/engine/rejections_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -320,3 +321,34 @@
 		}
 	})
 }
+
+// TestFormerStateIsTakenOver guards against tasks that run twice or never because an owner of an earlier release recorded them.
+func TestFormerStateIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 4})
+		defer c.close()
+		j := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 1000}, work.Step{Tasks: 3, Demand: smallTask, EstimateMS: 8000})
+		c.submitTasks("key", "normal", j, func(step, _ int) standin.Behaviour {
+			return standin.Behaviour{Work: []time.Duration{time.Second, 8 * time.Second}[step]}
+		})
+		time.Sleep(2 * time.Second)
+		c.crash("host-0")
+		r, _ := c.store.Newest(replica.TopicRuns, replica.StateKey(j.ID))
+		s, err := work.DecodeState(&j, [][]byte{r.Value})
+		if err != nil {
+			t.Fatal(err)
+		}
+		former, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.store.Put(replica.TopicRuns, store.Record{Key: r.Key, Value: append(s.Header(), former...)})
+		c.addHost("host-0")
+		c.awaitStatus(j.ID, work.Completed, 20*time.Second)
+		for step := range j.Steps {
+			if n := len(c.fleet.Ledger().Runs(work.TaskName{Job: j.ID, Step: step})); n != 1 {
+				t.Errorf("the first task of step %d had %d runs", step, n)
+			}
+		}
+	})
+}
