Keep the state of a job whose own record cannot be decoded

Cause: every host ignored such a job: its caller was told that there is none, and the next owner took its state for a leftover and deleted it, so a release that reads the record would have run the job again from the start. Change: the copy marks the job as unreadable. It is not run, its state is kept, and callers see it as failed unless its status or its cancellation say otherwise; a submission of the same id is answered as accepted already. Measured: TestUnreadableJobRecordKeepsItsState failed before (not ended within 10 s, state deleted) and passes now. go test ./internal/engine/... ./platform/... passed. Conclusion: no record that cannot be decoded makes a job vanish.

--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -180,7 +180,7 @@
 	if err := job.Validate(); err != nil {
 		return Answer{Outcome: BadJob, Reason: err.Error()}
 	}
-	if e, known := s.Jobs.Get(job.ID); known && e.Job != nil {
+	if e, known := s.Jobs.Get(job.ID); known && (e.Job != nil || e.Unreadable) {
 		return Answer{Outcome: OK, Reason: "already accepted"}
 	}
 	job.Queue, job.Service, job.Organisation = queue.ID(), queue.Service, organisation
@@ -218,7 +218,7 @@
 	// The cancellation of an unknown job is also recorded, because another host may be
 	// executing its submission.
 	a := s.write(ctx, c, store.Record{Key: replica.CancelKey(id), Value: replica.CancelValue(s.WallClock())})
-	if a.Outcome == OK && (!known || e.Job == nil) {
+	if a.Outcome == OK && (!known || e.Job == nil && !e.Unreadable) {
 		return Answer{Outcome: NoJob, Reason: "no such job"}
 	}
 	return a
@@ -235,6 +235,9 @@
 		s.log("status", c, id, *refused)
 		return *refused
 	}
+	if e.Unreadable {
+		return Answer{Outcome: OK, Status: unreadableStatus(e)}
+	}
 	if !known || e.Job == nil {
 		a := Answer{Outcome: NoJob, Reason: "no such job"}
 		s.log("status", c, id, a)
@@ -250,6 +253,18 @@
 	return Answer{Outcome: OK, Status: status}
 }
 
+// unreadableStatus returns the status of a job whose record cannot be decoded, which no
+// scheduler runs.
+func unreadableStatus(e replica.JobEntry) work.Status {
+	switch {
+	case e.Status.Ended():
+		return e.Status
+	case e.Cancelled:
+		return work.Cancelled
+	}
+	return work.Failed
+}
+
 // refresh returns a newer entry of a job that has not ended according to the copy. It
 // returns e if the copy is fresh or newer statuses cannot be read.
 func (s *Service) refresh(ctx context.Context, id string, e replica.JobEntry) replica.JobEntry {
--- a/internal/engine/rejections_test.go
+++ b/internal/engine/rejections_test.go
@@ -352,3 +352,25 @@
 		}
 	})
 }
+
+// TestUnreadableJobRecordKeepsItsState guards against a job that callers are told does not exist, and whose state is deleted, because its record cannot be decoded.
+func TestUnreadableJobRecordKeepsItsState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 4})
+		defer c.close()
+		bad := newJob(1, work.Step{Tasks: 2, Demand: smallTask, EstimateMS: 60_000})
+		c.submit("normal", bad, standin.Behaviour{Work: time.Minute})
+		time.Sleep(2 * time.Second)
+		c.crash("host-0")
+		c.store.Put(replica.TopicJobs, store.Record{Key: replica.JobKey(bad.ID), Value: []byte("{}")})
+		c.addHost("host-0")
+		c.awaitStatus(bad.ID, work.Failed, 10*time.Second)
+		c.awaitCompleted(c.otherJobs(2), 20*time.Second)
+		if r, _ := c.store.Newest(replica.TopicRuns, replica.StateKey(bad.ID)); len(r.Value) == 0 {
+			t.Error("the state was deleted")
+		}
+		if n := len(c.activeRuns(bad)); n > 0 {
+			t.Errorf("%d runs of a failed job are left", n)
+		}
+	})
+}
--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -75,8 +75,10 @@
 
 // JobEntry is the copy of a job's records.
 type JobEntry struct {
-	Job       *work.Job // nil while only the cancellation or the status is known
-	Cancelled bool      // a cancellation was recorded
+	Job *work.Job // nil while only the cancellation or the status is known
+	// Unreadable reports whether the job was accepted but its record cannot be decoded.
+	Unreadable bool
+	Cancelled  bool // a cancellation was recorded
 	// CancelledMS is the time of the cancellation in Unix milliseconds, on the clock of
 	// the host that accepted it.
 	CancelledMS int64
@@ -216,7 +218,7 @@
 	}
 	for id, e := range s.entries {
 		if !kept[JobKey(id)] {
-			e.Job = nil
+			e.Job, e.Unreadable = nil, false
 		}
 		if !kept[CancelKey(id)] {
 			e.Cancelled = false
@@ -258,7 +260,7 @@
 func (s submissionSink) applyJob(id string, value []byte) {
 	e := s.entry(id)
 	if len(value) == 0 {
-		e.Job = nil
+		e.Job, e.Unreadable = nil, false
 		s.dropIfEmpty(id, e)
 		return
 	}
@@ -267,17 +269,17 @@
 	}
 	job, err := work.DecodeJob(value)
 	if err != nil {
-		s.log.Error("a job's record cannot be decoded; it is ignored", zap.String("job", id), zap.Error(err))
-		s.dropIfEmpty(id, e)
+		s.log.Error("a job's record cannot be decoded; the job is not run", zap.String("job", id), zap.Error(err))
+		e.Unreadable = true
 		return
 	}
-	e.Job = job
+	e.Job, e.Unreadable = job, false
 	s.changed[id] = true
 }
 
 // dropIfEmpty deletes an entry that holds no information. The caller holds the lock.
 func (j *Jobs) dropIfEmpty(id string, e *JobEntry) {
-	if e.Job == nil && !e.Cancelled && e.Status == work.Queued && !e.Started {
+	if e.Job == nil && !e.Unreadable && !e.Cancelled && e.Status == work.Queued && !e.Started {
 		delete(j.entries, id)
 	}
 }
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -89,7 +89,8 @@
 }
 
 // inheritJobs adds all jobs with their recorded runs. State records without a job remain
-// from a deletion that was not completed.
+// from a deletion that was not completed. Those of jobs whose own record cannot be decoded
+// are kept.
 func (t *term) inheritJobs(records []store.Record) {
 	states := map[string][][]byte{}
 	for _, r := range records {
@@ -99,6 +100,9 @@
 	}
 	for id, e := range t.Jobs.All() {
 		if e.Job == nil {
+			if e.Unreadable {
+				delete(states, id)
+			}
 			continue
 		}
 		j := t.inheritJob(e, states[id])
