--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -100,6 +101,8 @@
 	Statuses    *replica.Follower
 	// MaxRevocationDelay is the time within which a revoked key must be refused.
 	MaxRevocationDelay time.Duration
+	// StoreLimits are the store's limits, which bound the record of a job.
+	StoreLimits store.Limits
 	// HasAdvisor is set if the platform has an advice service.
 	HasAdvisor bool
 	// WallClock returns the time of day, for the time of acceptance.
@@ -185,7 +188,7 @@
 	if err := job.Validate(); err != nil {
 		return Answer{Outcome: BadJob, Reason: err.Error()}
 	}
-	if e, known := s.Jobs.Get(job.ID); known && e.Job != nil {
+	if e, known := s.Jobs.Get(job.ID); known && (e.Job != nil || e.Unreadable) {
 		return Answer{Outcome: OK, Reason: "already accepted"}
 	}
 	job.Queue, job.Service, job.Organisation = queue.ID(), queue.Service, organisation
@@ -193,7 +196,11 @@
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
 	job.AcceptedMS = s.WallClock().UnixMilli()
-	return s.write(ctx, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
+	record := store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()}
+	if size, limit := record.Size(), s.StoreLimits.RecordBytes; size > limit {
+		return Answer{Outcome: BadJob, Reason: fmt.Sprintf("the job's record has %d bytes, and the store's limit is %d", size, limit)}
+	}
+	return s.write(ctx, record)
 }
 
 // Cancel cancels a job. It succeeds if the job has already ended.
@@ -221,7 +228,7 @@
 	// The cancellation of an unknown job is also recorded, because another host may be
 	// executing its submission.
 	a := s.write(ctx, store.Record{Key: replica.CancelKey(id), Value: replica.CancelValue(s.WallClock())})
-	if a.Outcome == OK && (!known || e.Job == nil) {
+	if a.Outcome == OK && (!known || e.Job == nil && !e.Unreadable) {
 		return Answer{Outcome: NoJob, Reason: "no such job"}
 	}
 	return a
@@ -240,6 +247,9 @@
 		s.log("status", c, id, *refused)
 		return *refused
 	}
+	if e.Unreadable {
+		return Answer{Outcome: OK, Status: unreadableStatus(e)}
+	}
 	if !known || e.Job == nil {
 		a := Answer{Outcome: NoJob, Reason: "no such job"}
 		s.log("status", c, id, a)
@@ -255,6 +265,18 @@
 	return Answer{Outcome: OK, Status: status}
 }
 
+// unreadableStatus returns the status of a job whose record cannot be decoded, which no
+// scheduler runs.
+func unreadableStatus(e replica.JobEntry) work.Status {
+	switch {
+	case e.Status.Ended():
+		return e.Status
+	case e.Cancelled:
+		return work.Cancelled
+	}
+	return work.Failed
+}
+
 // refresh returns a newer entry of a job that has not ended according to the copy. It
 // returns e if the copy is fresh or newer statuses cannot be read.
 func (s *Service) refresh(ctx context.Context, id string, e replica.JobEntry) replica.JobEntry {
@@ -314,6 +336,9 @@
 		if err == nil {
 			return Answer{Outcome: OK}
 		}
+		if errors.Is(err, store.ErrInvalid) {
+			return invalidAnswer(err, maybeAppended)
+		}
 		refused := errors.Is(err, store.ErrRefused)
 		if refused && !maybeAppended {
 			return Answer{Outcome: TryLater, Reason: "the store refused", RetryAfter: retryAfter}
@@ -327,6 +352,14 @@
 	}
 }
 
+// invalidAnswer returns the answer to a call whose record the store rejects for good.
+func invalidAnswer(err error, maybeAppended bool) Answer {
+	if maybeAppended {
+		return Answer{Outcome: Unknown, Reason: "the store did not answer at first and then rejected the record: " + err.Error()}
+	}
+	return Answer{Outcome: BadJob, Reason: "the store does not accept the record: " + err.Error()}
+}
+
 // updateMetrics updates the metrics of an operation: the number of answers by outcome, and the
 // duration.
 func (s *Service) updateMetrics(operation string, a Answer, start time.Time) {
--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -38,11 +38,35 @@
 // CancelKey returns the key of a job's cancellation in TopicJobs.
 func CancelKey(id string) string { return cancelKeyPrefix + id }
 
-// StateKey returns the key of a job in TopicStatuses and TopicRuns.
+// StateKey returns the key of a job in TopicStatuses, and of the first chunk of its state in
+// TopicRuns.
 func StateKey(id string) string { return stateKeyPrefix + id }
 
-// ParseStateKey returns the job id in a key made by StateKey, and whether the key is one.
-func ParseStateKey(key string) (string, bool) { return strings.CutPrefix(key, stateKeyPrefix) }
+// chunkSeparator separates the job id from the number of a chunk.
+const chunkSeparator = "/"
+
+// ChunkKey returns the key of a chunk of a job's state in TopicRuns.
+func ChunkKey(id string, chunk int) string {
+	if chunk == 0 {
+		return StateKey(id)
+	}
+	return StateKey(id) + chunkSeparator + strconv.Itoa(chunk)
+}
+
+// ParseChunkKey returns the job id and the chunk in a key made by ChunkKey, and whether the
+// key is one.
+func ParseChunkKey(key string) (id string, chunk int, ok bool) {
+	rest, ok := strings.CutPrefix(key, stateKeyPrefix)
+	if !ok {
+		return "", 0, false
+	}
+	id, number, numbered := strings.Cut(rest, chunkSeparator)
+	if !numbered {
+		return id, 0, true
+	}
+	chunk, err := strconv.Atoi(number)
+	return id, chunk, err == nil && chunk > 0 && chunk < work.MaxChunks
+}
 
 // OwnerRecord returns a heartbeat record of the owner with the given member name.
 func OwnerRecord(member string) store.Record {
@@ -51,8 +75,10 @@
 
 // JobEntry is the copy of a job's records.
 type JobEntry struct {
-	Job       *work.Job // nil while only the cancellation or the status is known
-	Cancelled bool      // a cancellation was recorded
+	Job *work.Job // nil while only the cancellation or the status is known
+	// Unreadable reports whether the job was accepted but its record cannot be decoded.
+	Unreadable bool
+	Cancelled  bool // a cancellation was recorded
 	// CancelledMS is the time of the cancellation in Unix milliseconds, on the clock of
 	// the host that accepted it.
 	CancelledMS int64
@@ -192,7 +218,7 @@
 	}
 	for id, e := range s.entries {
 		if !kept[JobKey(id)] {
-			e.Job = nil
+			e.Job, e.Unreadable = nil, false
 		}
 		if !kept[CancelKey(id)] {
 			e.Cancelled = false
@@ -234,7 +260,7 @@
 func (s submissionSink) applyJob(id string, value []byte) {
 	e := s.entry(id)
 	if len(value) == 0 {
-		e.Job = nil
+		e.Job, e.Unreadable = nil, false
 		s.dropIfEmpty(id, e)
 		return
 	}
@@ -243,17 +269,17 @@
 	}
 	job, err := work.DecodeJob(value)
 	if err != nil {
-		s.log.Error("a job's record cannot be decoded; it is ignored", zap.String("job", id), zap.Error(err))
-		s.dropIfEmpty(id, e)
+		s.log.Error("a job's record cannot be decoded; the job is not run", zap.String("job", id), zap.Error(err))
+		e.Unreadable = true
 		return
 	}
-	e.Job = job
+	e.Job, e.Unreadable = job, false
 	s.changed[id] = true
 }
 
 // dropIfEmpty deletes an entry that holds no information. The caller holds the lock.
 func (j *Jobs) dropIfEmpty(id string, e *JobEntry) {
-	if e.Job == nil && !e.Cancelled && e.Status == work.Queued && !e.Started {
+	if e.Job == nil && !e.Unreadable && !e.Cancelled && e.Status == work.Queued && !e.Started {
 		delete(j.entries, id)
 	}
 }
