Count tasks on draining workers as unavailable

Tasks of a long-running step were stopped for urgent work although, with those of a leaving worker, too many were away. Cause: a task on a draining worker counted as in service until its own stop was sent, which is never withheld. Stops decided or sent at that moment came on top of it. Change: a run on a draining worker is not in service for the decisions on other stops. Conclusion: the same count serves preemption, upkeep and the sending of stops.

--- a/internal/engine/job_kinds_test.go
+++ b/internal/engine/job_kinds_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+// TestStopsBesideLeavingWorkerKeepMaxUnavailable guards against stops that are sent together with
+// that of a task whose worker leaves, so that more tasks are stopped than their step allows.
+func TestStopsBesideLeavingWorkerKeepMaxUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for wait := range 100 {
+			c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
+			serving := newJob(1, work.Step{Tasks: 6, Demand: largeTask, LongRunning: true, MaxUnavailable: 2, MaxPerWorker: 1})
+			c.submit("batch", serving, standin.Behaviour{})
+			time.Sleep(3 * time.Second)
+			urgent := newJob(2, work.Step{Tasks: 2, Demand: largeTask, EstimateMS: 1000, Gang: true})
+			go c.workers[0].Drain(2 * time.Second)
+			time.Sleep(time.Duration(wait) * 3 * time.Millisecond)
+			c.submit("urgent", urgent, standin.Behaviour{Work: time.Second})
+			time.Sleep(8 * time.Second)
+			c.close()
+		}
+	})
+}
+
 // TestFillersMakeRoomOneAfterAnother guards against best-effort tasks whose stops withhold each
 // other, so that a latency-sensitive job never starts.
 func TestFillersMakeRoomOneAfterAnother(t *testing.T) {
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -167,10 +167,10 @@
 	return allowance[key] >= 0
 }
 
-// inService reports whether a long-running run is known to be at work. A run on a worker that
-// does not answer is not, because the worker may have ended it.
+// inService reports whether a long-running run is known to be at work and may stay so. A run on
+// a worker that does not answer may have ended, and one on a draining worker is about to.
 func (r *run) inService() bool {
-	return r.phase == runStarted && r.percent >= completePercent && r.worker.missedPolls == 0
+	return r.phase == runStarted && r.percent >= completePercent && r.worker.missedPolls == 0 && !r.worker.entry.Draining
 }
 
 // unavailableTasks counts the tasks of a long-running step that are not known to be in
