Replica: count rejected records and log each once per change

Cause: each read of an odd record logged a line, which quoted the value, of any length: another writer that renews its entry, or loads of the newest records, fill the log. Change: rejected records of workers, operators, jobs and statuses are counted in replica.rejected.TOPIC and logged once until they change, at most 20 lines a minute and topic with at most 200 bytes of the reason. Conclusion: the state records that only a takeover reads are still logged one by one.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -105,7 +105,13 @@
 			Store: o.Store, Topic: topic, Sink: sink, MaxWait: wait, MinReadInterval: interval, Now: o.Now, Logger: partLogger("replica"),
 		})
 	}
-	e := &Engine{Jobs: replica.NewJobs(o.Now, partLogger("replica")), Operator: replica.NewOperator(o.DecodeOperator, partLogger("manifest"))}
+	newRejections := func(topic, part string) *replica.Rejections {
+		return replica.NewRejections(topic, o.Metrics, o.Now, partLogger(part))
+	}
+	e := &Engine{
+		Jobs:     replica.NewJobs(o.Now, newRejections(replica.TopicJobs, "replica"), newRejections(replica.TopicStatuses, "replica")),
+		Operator: replica.NewOperator(o.DecodeOperator, newRejections(o.OperatorTopic, "manifest"), partLogger("manifest")),
+	}
 	statusesReadInterval := func() time.Duration {
 		if e.elector.Outranked() {
 			return outrankedReadInterval
@@ -134,7 +140,8 @@
 	e.scheduler = scheduler.New(scheduler.Options{
 		Store: o.Store, Workers: o.Workers, Advisor: o.Advisor, Machines: o.Machines,
 		StatusTopic: o.StatusTopic, EncodeWaveStatus: o.EncodeWaveStatus, WorkerTopic: o.WorkerTopic, DecodeWorker: o.DecodeWorker,
-		Elector: e.elector, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses, Operator: e.Operator,
+		RejectedEntries: newRejections(o.WorkerTopic, "scheduler"),
+		Elector:         e.elector, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses, Operator: e.Operator,
 		Bounds: o.Bounds, Now: o.Now, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("scheduler"),
 	})
 	e.Intake = intake.New(intake.Options{
--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -71,12 +69,16 @@
 	ownerSeenAt time.Duration // when its last record was received
 	ownerOffset int64         // offset of its last record, or -1
 	now         boottime.Clock
-	log         *zap.Logger
+	// rejectedJobs and rejectedStatuses note the records that cannot be decoded.
+	rejectedJobs, rejectedStatuses *Rejections
 }
 
 // NewJobs returns an empty copy.
-func NewJobs(now boottime.Clock, log *zap.Logger) *Jobs {
-	return &Jobs{entries: map[string]*JobEntry{}, changed: map[string]bool{}, notify: make(chan struct{}, 1), ownerOffset: -1, now: now, log: log}
+func NewJobs(now boottime.Clock, rejectedJobs, rejectedStatuses *Rejections) *Jobs {
+	return &Jobs{
+		entries: map[string]*JobEntry{}, changed: map[string]bool{}, notify: make(chan struct{}, 1), ownerOffset: -1, now: now,
+		rejectedJobs: rejectedJobs, rejectedStatuses: rejectedStatuses,
+	}
 }
 
 // Owner returns the member name of the owner that wrote last, and the time since its last
@@ -218,7 +220,7 @@
 
 func (s submissionSink) applyRecord(r store.Record) {
 	if id, ok := strings.CutPrefix(r.Key, jobKeyPrefix); ok {
-		s.applyJob(id, r.Value)
+		s.applyJob(id, r)
 		return
 	}
 	if id, ok := strings.CutPrefix(r.Key, cancelKeyPrefix); ok {
@@ -231,9 +233,9 @@
 	}
 }
 
-func (s submissionSink) applyJob(id string, value []byte) {
+func (s submissionSink) applyJob(id string, r store.Record) {
 	e := s.entry(id)
-	if len(value) == 0 {
+	if len(r.Value) == 0 {
 		e.Job = nil
 		s.dropIfEmpty(id, e)
 		return
@@ -241,9 +243,9 @@
 	if e.Job != nil {
 		return // the job was submitted at two hosts; the first record is valid
 	}
-	job, err := work.DecodeJob(value)
+	job, err := work.DecodeJob(r.Value)
 	if err != nil {
-		s.log.Error("a job's record cannot be decoded; it is ignored", zap.String("job", id), zap.Error(err))
+		s.rejectedJobs.Reject(r, err)
 		s.dropIfEmpty(id, e)
 		return
 	}
@@ -304,7 +306,7 @@
 		}
 		status, started, err := work.DecodeHeader(r.Value)
 		if err != nil {
-			s.log.Error("a job's status cannot be decoded; the previous one is kept", zap.String("job", id), zap.Error(err))
+			s.rejectedStatuses.Reject(r, err) // the previous status is kept
 			s.dropIfEmpty(id, e)
 			continue
 		}
--- a/internal/engine/replica/operator.go
+++ b/internal/engine/replica/operator.go
@@ -47,12 +47,13 @@
 	waves     map[string]Wave // by key
 	notify    chan struct{}
 	staleness func() (time.Duration, bool)
+	rejected  *Rejections
 	log       *zap.Logger
 }
 
 // NewOperator returns an empty copy.
-func NewOperator(decode DecodeOperator, log *zap.Logger) *Operator {
-	return &Operator{decode: decode, zonesOut: map[string]bool{}, waves: map[string]Wave{}, notify: make(chan struct{}, 1), log: log}
+func NewOperator(decode DecodeOperator, rejected *Rejections, log *zap.Logger) *Operator {
+	return &Operator{decode: decode, rejected: rejected, zonesOut: map[string]bool{}, waves: map[string]Wave{}, notify: make(chan struct{}, 1), log: log}
 }
 
 // SetFollower sets the follower that fills the copy. It must be called before View.
@@ -111,9 +112,10 @@
 	for _, r := range records {
 		change, err := o.decode(r)
 		if err != nil {
-			o.log.Error("an operator's record cannot be decoded; it is ignored", zap.String("key", r.Key), zap.Error(err))
+			o.rejected.Reject(r, err)
 			continue
 		}
+		o.rejected.Accept(r.Key)
 		o.applyChange(change)
 	}
 	select {
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -53,13 +53,15 @@
 	EncodeWaveStatus func(wave replica.Wave, completed bool) store.Record
 	WorkerTopic      string
 	DecodeWorker     DecodeWorker
-	Elector          *tenure.Elector
-	Jobs             *replica.Jobs
-	Submissions      *replica.Follower
-	Statuses         *replica.Follower
-	Operator         *replica.Operator
-	Bounds           Bounds
-	Now              boottime.Clock
+	// RejectedEntries notes the entries of workers that cannot be decoded.
+	RejectedEntries *replica.Rejections
+	Elector         *tenure.Elector
+	Jobs            *replica.Jobs
+	Submissions     *replica.Follower
+	Statuses        *replica.Follower
+	Operator        *replica.Operator
+	Bounds          Bounds
+	Now             boottime.Clock
 	// WallClock returns the time of day.
 	WallClock func() time.Time
 	Metrics   gometrics.Registry
--- a/internal/engine/scheduler/worker_list.go
+++ b/internal/engine/scheduler/worker_list.go
@@ -99,10 +99,12 @@
 		}
 		e, err := l.t.DecodeWorker(r)
 		if err != nil {
-			l.t.log.Warn("cannot decode a worker's entry; ignoring the worker", zap.String("worker", r.Key), zap.Error(err))
+			// The worker gets no new runs until its next sound entry, but keeps those it has.
+			l.t.RejectedEntries.Reject(r, err)
 			delete(l.entries, r.Key)
 			continue
 		}
+		l.t.RejectedEntries.Accept(r.Key)
 		if former := l.entries[r.Key]; former == nil || former.Key() != e.Key() || former.ClockMS != e.ClockMS || e.ClockMS == 0 {
 			l.writtenAfter[r.Key] = before
 		}
