Scheduler: an entry of the list alone ends no run

Cause: an entry of sound form under the id of a live worker, with a later start time, replaced its incarnation: its runs were ended and started elsewhere while they ran, a crash was counted, and when the worker answered with its true start time that incarnation was dead, so that the worker was not used again in the term. An entry with the address of another worker did the same through the answer 421. With one such entry over each worker of a full cluster no job ended any more. At a takeover also an earlier start time did, and an id of nobody at a live address counted as a crash. A listed incarnation is a candidate until it answers; an answer replaces earlier incarnations. A worker that has answered keeps its address. An answer of another worker ends a worker only if it has answered at that address or its entry stood for two heartbeats. A worker that never answered and has no runs is no crash. Late answers to a dead worker are dropped. After a takeover a worker that stays silent for two heartbeats behind an odd entry with the address of another is still given up.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -22,6 +22,8 @@
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/standin"
+	"github.com/daisyfold/daisyfold/platform"
+	"github.com/daisyfold/daisyfold/platform/platformtest"
 )
 
 const (
@@ -63,13 +65,16 @@
 	busyTime map[string]time.Duration
 	// failNext makes the next reading of a host's wall clock panic, by host.
 	failNext map[string]bool
+	// platformFormat is the option of the same name.
+	platformFormat bool
 }
 
 type testHost struct {
 	*engine.Engine
-	name   string
-	cancel context.CancelFunc
-	done   chan struct{}
+	name    string
+	metrics gometrics.Registry
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 type clusterOptions struct {
@@ -82,6 +87,8 @@
 	newIDAfterCrash bool
 	// staleEntries keeps the entries of workers unchanged while the store is unavailable.
 	staleEntries bool
+	// platformFormat makes the records of the workers and the operators those of the platform.
+	platformFormat bool
 }
 
 func newCluster(t *testing.T, o clusterOptions) *cluster {
@@ -91,11 +98,15 @@
 	}
 	s := standin.NewStore(o.seed)
 	ctx, cancel := context.WithCancel(t.Context())
-	c := &cluster{t: t, store: s, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
-	c.fleet = standin.NewFleet(standin.FleetOptions{
+	c := &cluster{t: t, store: s, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, platformFormat: o.platformFormat, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
+	fleetOptions := standin.FleetOptions{
 		MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries,
-	}, s)
+	}
+	if o.platformFormat {
+		fleetOptions.EncodeEntry = platformtest.EncodeWorkerEntry
+	}
+	c.fleet = standin.NewFleet(fleetOptions, s)
 	c.advisor, c.machines = c.fleet.Advisor(), c.fleet.Machines(maxDownPerWave)
 	for i := range o.workers {
 		c.workers = append(c.workers, c.fleet.AddWorker(newWorkerEntry(i)))
@@ -141,6 +152,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.platformFormat {
+		data = platformtest.EncodeManifest(m)
+	}
 	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
 }
 
@@ -172,7 +186,8 @@
 
 func (c *cluster) addHost(name string) *testHost {
 	ctx, cancel := context.WithCancel(c.ctx)
-	e := engine.New(engine.Options{
+	registry := gometrics.NewRegistry()
+	o := engine.Options{
 		Host: name, CPUShare: c.cpuShares[name], Store: c.store.Client(name), Workers: c.fleet.Client(name), Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
 		OperatorTopic: operatorTopic, WorkerTopic: standin.TopicWorkers,
 		DecodeOperator: decodeOperator, DecodeWorker: standin.DecodeWorker,
@@ -181,9 +196,13 @@
 			WorkerHeartbeatInterval: heartbeatInterval, HolderLease: 3 * time.Second, UpkeepDuration: 2 * time.Second,
 		},
 		MaxRevocationDelay: 5 * time.Second, MinMembershipTTL: time.Second, Now: c.clock, WallClock: func() time.Time { return c.readWallClock(name) },
-		Metrics: gometrics.NewRegistry(), Logger: c.log.With(zap.String("host", name)),
-	})
-	h := &testHost{Engine: e, name: name, cancel: cancel, done: make(chan struct{})}
+		Metrics: registry, Logger: c.log.With(zap.String("host", name)),
+	}
+	if c.platformFormat {
+		o.DecodeOperator, o.DecodeWorker, o.EncodeWaveStatus = platform.DecodeOperator, platform.DecodeWorker, platform.EncodeWaveStatus
+	}
+	e := engine.New(o)
+	h := &testHost{Engine: e, name: name, metrics: registry, cancel: cancel, done: make(chan struct{})}
 	c.mu.Lock()
 	c.hosts[name] = h
 	c.mu.Unlock()
--- a/internal/engine/scheduler/crashes.go
+++ b/internal/engine/scheduler/crashes.go
@@ -67,8 +67,8 @@
 // incarnation, or another worker at its address, responds: a worker that is only silent is
 // not counted.
 func (t *term) handleCrash(w *worker) {
-	if w.crashHandled {
-		return
+	if w.crashHandled || (!w.reached && len(w.runs) == 0) {
+		return // it may never have existed
 	}
 	w.crashHandled = true
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return r.phase == runPlanned })
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -239,7 +239,7 @@
 	case workers.Fenced:
 		t.endFenced(w.key)
 	case workers.OtherIncarnation:
-		t.markDead(w)
+		t.handleOtherWorker(w, now)
 	case workers.Accepted, workers.RunTooOld:
 		r.stopAnsweredAt = now
 		w.nextPollAt = now
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -38,112 +38,12 @@
 // network outage.
 const pollWaitDivisor = 5
 
-// updateWorkers applies the platform's list of workers.
-func (t *term) updateWorkers(list []*workers.Entry) {
-	listed := make(map[string]bool, len(list))
-	for _, e := range list {
-		listed[e.Key()] = true
-		t.updateWorker(*e)
-	}
-	for key, w := range t.workers {
-		if w.listed && !listed[key] {
-			w.listed = false
-			t.log.Info("worker left the list", zap.String("worker", key), zap.Int("runs", len(w.runs)))
-		}
-	}
-	t.needsPlanning = true
-}
-
-func (t *term) updateWorker(e workers.Entry) {
-	key := e.Key()
-	if t.isOldIncarnation(e) {
-		return
-	}
-	w := t.workers[key]
-	if w == nil {
-		w = &worker{key: key, runs: map[work.RunName]*run{}}
-		t.workers[key] = w
-	}
-	if !w.listed && !w.dead {
-		t.log.Info("worker listed", zap.String("worker", key), zap.String("zone", e.Zone), zap.String("rack", e.Rack))
-	}
-	if e.Draining && !w.entry.Draining {
-		t.log.Info("worker is draining", zap.String("worker", key), zap.Int64("remaining_ms", e.RemainingMS))
-		w.setDrainDeadline(e.RemainingMS, t.Now())
-	}
-	w.entry, w.listed = e, !w.dead
-	if w.clockAt == 0 {
-		w.clockMS, w.clockAt = e.ClockMS, t.Now()
-	}
-	if older := t.latestKeys[e.ID]; older != "" && older != key {
-		t.replaceIncarnation(older, w)
-	}
-	t.latestKeys[e.ID] = key
-	t.replaceUnlisted(w)
-}
-
-// isOldIncarnation reports whether the entry belongs to an incarnation that a later one
-// has replaced: the list may be older than the worker's own answers.
-func (t *term) isOldIncarnation(e workers.Entry) bool {
-	current := t.workers[t.latestKeys[e.ID]]
-	return current != nil && current.reached && e.StartMS < current.entry.StartMS
-}
-
-// replaceIncarnation ends the runs of an earlier incarnation, because a restarted worker
-// has none of them. A start order does not name the incarnation, so it can reach the
-// later one. Runs that no report of the earlier incarnation has shown, or whose start may
-// still be delivered, are therefore moved to the later one.
-func (t *term) replaceIncarnation(olderKey string, successor *worker) {
-	w := t.workers[olderKey]
-	if w == nil || w.dead {
-		return
-	}
-	if !w.announcedLeave() {
-		t.handleCrash(w)
-	}
-	t.log.Info("worker started again", zap.String("worker", olderKey), zap.String("as", successor.key), zap.Int("runs", len(w.runs)))
-	for _, r := range w.sortedRuns() {
-		if r.phase == runPlanned || (r.reported && !r.startUnanswered && r.phase != runStartSent) {
-			continue
-		}
-		w.removeRun(r)
-		t.moveRun(r, successor)
-		successor.lateStartsUntil = t.Now() + maxOrderDelay + t.maxLeaseDuration()
-		if r.phase == runStarted {
-			r.phase, r.startResolvedAt = runUncertain, t.Now()
-		}
-	}
-	t.markDead(w)
-}
-
-// markDead ends all runs of a worker that is known to run nothing.
-func (t *term) markDead(w *worker) {
-	ending := workers.EndedWorkerLeft
-	if !w.announcedLeave() {
-		ending = workers.EndedWorkerCrashed
-		t.handleCrash(w)
-	}
-	w.dead, w.listed = true, false
-	for _, r := range w.sortedRuns() {
-		t.endRun(r, ending, "")
-	}
-}
-
-// announcedLeave reports whether the worker was expected to end its runs: it is draining, or
-// its machine's upkeep began before the worker was lost.
-func (w *worker) announcedLeave() bool {
-	if w.missedPolls > 0 {
-		return w.entry.Draining || w.lostInUpkeep
-	}
-	return w.entry.Draining || w.inUpkeep
-}
-
 // checkWorkers sends the orders that are due and ends lapsed runs, for all workers.
 func (t *term) checkWorkers(now time.Duration) {
 	for key, w := range t.workers {
 		if w.dead || (!w.listed && len(w.runs) == 0) {
-			if len(w.runs) == 0 && !w.pollInFlight && t.latestKeys[w.entry.ID] != key {
-				delete(t.workers, key)
+			if len(w.runs) == 0 && !w.pollInFlight && t.latestKeys[work.WorkerID(key)] != key {
+				t.dropWorker(key)
 			}
 			continue
 		}
@@ -264,14 +164,13 @@
 	case errors.Is(err, workers.ErrFenced):
 		t.endFenced(w.key)
 		return
+	case w.dead:
+		return
 	case errors.Is(err, workers.ErrOtherIncarnation):
-		t.log.Info("another incarnation of the worker answers at its address", zap.String("worker", w.key), zap.Int("runs", len(w.runs)))
-		t.markDead(w)
+		t.handleOtherWorker(w, now)
 		return
 	case err == nil && report.StartMS != w.entry.StartMS:
-		later := w.entry
-		later.StartMS, later.ClockMS = report.StartMS, report.ClockMS
-		t.updateWorker(later)
+		t.handleOtherIncarnation(w, report, now)
 		return
 	case err != nil:
 		t.handleMissedPoll(w, now, err)
@@ -288,6 +187,7 @@
 		t.needsPlanning = true
 	}
 	w.missedPolls, w.reached, w.answeredAt = 0, true, sent
+	t.confirmIncarnation(w)
 	w.updateClock(report.ClockMS, now)
 	t.applyReport(w, sent, report)
 	w.nextPollAt = now
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -158,6 +158,8 @@
 	// reached reports whether the worker has answered a poll of this term, and thus knows
 	// its fencing token.
 	reached bool
+	// addressSince is when the list first named the worker's address.
+	addressSince time.Duration
 	// answeredAt is when the last answered poll was sent.
 	answeredAt time.Duration
 	// clockMS is the worker's clock at clockAt, in milliseconds.
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -55,9 +55,6 @@
 	t.zonesOut = t.Operator.ZonesOut()
 	t.updateWaves()
 	t.inheritJobs(runs)
-	for _, key := range t.latestKeys {
-		t.replaceUnlisted(t.workers[key])
-	}
 	t.metrics.takeovers.Inc(1)
 	t.log.Info("took over", zap.Int("jobs", len(t.jobs)), zap.Int("workers", len(t.workers)),
 		zap.Duration("took", t.Now()-t.began))
@@ -148,7 +145,7 @@
 			}
 			w := t.workers[task.Worker]
 			if w == nil {
-				w = t.addUnlistedWorker(task.Worker)
+				w = t.addWorker(task.Worker)
 			}
 			name := work.RunName{Task: j.TaskName(s, i), Number: task.RunNumber}
 			w.addRun(&run{name: name, job: j, worker: w, demand: j.StepAt(s).Demand, phase: runUncertain, checkpoint: task.Checkpoint})
@@ -156,24 +153,5 @@
 	}
 }
 
-// replaceUnlisted ends the runs that a former owner recorded on an earlier incarnation of the
-// worker.
-func (t *term) replaceUnlisted(w *worker) {
-	for _, key := range t.unlistedKeys[w.entry.ID] {
-		if work.WorkerStartMS(key) < w.entry.StartMS {
-			t.replaceIncarnation(key, w)
-		}
-	}
-}
-
-// addUnlistedWorker adds a worker that is not listed but may still have runs.
-func (t *term) addUnlistedWorker(key string) *worker {
-	w := &worker{key: key, runs: map[work.RunName]*run{}}
-	t.workers[key] = w
-	id := work.WorkerID(key)
-	t.unlistedKeys[id] = append(t.unlistedKeys[id], key)
-	return w
-}
-
 // producer is the scheduler's producer name in the positions of its appends.
 const producer = "scheduler"
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -41,18 +41,19 @@
 // term is one period of ownership.
 type term struct {
 	*Scheduler
-	ctx        context.Context
-	epoch      int64
-	began      time.Duration
-	bounds     Bounds
-	log        *zap.Logger
-	events     chan event
-	jobs       map[string]*job
-	workers    map[string]*worker // by worker key
-	latestKeys map[string]string  // worker id to the key of its latest incarnation
-	// unlistedKeys holds the keys of workers that were not listed at the takeover but have
-	// recorded runs, by worker id.
-	unlistedKeys map[string][]string
+	ctx     context.Context
+	epoch   int64
+	began   time.Duration
+	bounds  Bounds
+	log     *zap.Logger
+	events  chan event
+	jobs    map[string]*job
+	workers map[string]*worker // by worker key
+	// latestKeys holds the key of each worker's latest incarnation that has answered, or of the
+	// listed one while none has, by worker id.
+	latestKeys map[string]string
+	// incarnations holds the keys of all known incarnations of a worker by its id.
+	incarnations map[string][]string
 	zonesOut     map[string]bool
 	// formerLeasesEnd is when every lease that a former owner requested has lapsed.
 	formerLeasesEnd time.Duration
@@ -90,7 +91,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		suspects: map[*job]bool{}, unlistedKeys: map[string][]string{},
+		suspects: map[*job]bool{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
