Scheduler: count leases on the clock of a worker's answers only

Cause: at a takeover the first renewal used the clock of the worker's entry. A later clock of an odd entry was kept for the whole term, because true readings are earlier; the bound of 2 % then grew with the term, so that the lease of a lost worker seemed to last longer and longer. Change: the clock comes from the worker's own answers. The first poll of a term renews no lease and is followed by the next one at once. While this term has renewed no lease of a worker, those of the former owner count. Conclusion: the delay is 0.02 of the age of the term, which makes 72 s after an hour.

--- a/internal/engine/odd_entries_test.go
+++ b/internal/engine/odd_entries_test.go
@@ -272,3 +272,18 @@
 	c.awaitAll(jobs, 25*time.Second)
 	c.checkSingleRuns(jobs...)
 }
+
+// TestOddClockDoesNotDelayLapse guards against a task that waits long for the lease of a lost worker because an odd entry named another clock.
+func TestOddClockDoesNotDelayLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 2, platformFormat: true})
+		defer c.close()
+		c.crashOwnerBehind(oddEntry{change: setField("clockMs", int64(1)<<40)})
+		time.Sleep(10 * time.Minute)
+		j := newJob(1, work.Step{Tasks: 1, Demand: largeTask, EstimateMS: 4000})
+		c.submit("normal", j, standin.Behaviour{Work: 4 * time.Second})
+		time.Sleep(time.Second)
+		c.worker(c.activeRuns(j)[0].Worker).Crash()
+		c.awaitStatus(j.ID, work.Completed, maxLease+8*time.Second)
+	})
+}
--- a/internal/engine/scheduler/incarnations.go
+++ b/internal/engine/scheduler/incarnations.go
@@ -52,9 +52,6 @@
 		t.mark(w)
 	}
 	w.entry, w.listed = e, !w.dead
-	if w.clockAt == 0 {
-		w.clockMS, w.clockAt = e.ClockMS, t.Now()
-	}
 	if latest := t.workers[t.latestKeys[e.ID]]; latest == nil || !latest.reached {
 		t.latestKeys[e.ID] = key
 	}
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -81,7 +81,7 @@
 		return
 	}
 	switch {
-	case now < w.lateStartsUntil, !w.reached && now < t.formerLeasesEnd:
+	case now < w.lateStartsUntil, (!w.reached || w.leaseUntilMS == 0) && now < t.formerLeasesEnd:
 		return
 	case w.reached && (w.missedPolls == 0 || w.earliestClockMS(now) <= w.leaseUntilMS+lapseSlack.Milliseconds()):
 		return
@@ -183,7 +183,8 @@
 	if recovered {
 		t.forgetLoss(w)
 	}
-	if !w.reached || recovered {
+	first := !w.reached
+	if first || recovered {
 		t.needsPlanning = true
 	}
 	w.missedPolls, w.reached, w.answeredAt = 0, true, sent
@@ -193,7 +194,7 @@
 	w.nextPollAt = now
 	if len(w.runs) == 0 {
 		w.nextPollAt = now + idlePollInterval
-	} else if w.hasUnsettledRuns() && !recovered {
+	} else if w.hasUnsettledRuns() && !recovered && !first { // the first poll has renewed no lease
 		w.nextPollAt = now + unsettledPollInterval
 	}
 }
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -162,7 +162,7 @@
 	addressSince time.Duration
 	// answeredAt is when the last answered poll was sent.
 	answeredAt time.Duration
-	// clockMS is the worker's clock at clockAt, in milliseconds.
+	// clockMS is the worker's clock at clockAt, in milliseconds, by its own answers.
 	clockMS int64
 	clockAt time.Duration
 	// leaseUntilMS is the latest end of a lease that this term has requested, in
@@ -218,7 +218,7 @@
 
 // updateClock applies a reading of the worker's clock that arrived at the given time.
 func (w *worker) updateClock(clockMS int64, at time.Duration) {
-	if clockMS > 0 && clockMS > w.earliestClockMS(at) {
+	if clockMS > 0 && (w.clockAt == 0 || clockMS > w.earliestClockMS(at)) {
 		w.clockMS, w.clockAt = clockMS, at
 	}
 }
