--- a/internal/engine/replica/follower.go
+++ b/internal/engine/replica/follower.go
@@ -281,6 +281,9 @@
 	f.maxLoadedOffset = 0
 	live := records[:0:0]
 	for _, r := range records {
+		if r.Key == "" {
+			continue
+		}
 		f.loadedOffsets[r.Key] = r.Offset
 		f.maxLoadedOffset = max(f.maxLoadedOffset, r.Offset)
 		if len(r.Value) > 0 {
