Replica: an odd record of the operators withdraws no wave

Cause: a load of the newest records cleared the waves before it decoded them, so that a wave whose newest record cannot be decoded was withdrawn. No fault was found for the manifest and the zones: an undecodable manifest left the former one in force before as well. Change: such a wave stays as it was; the load holds the lock throughout. Measured: TestOddOperatorRecordKeepsFormer red on (no wave after the load), green now. platform and internal/engine/... pass. Conclusion: a host that starts behind an odd manifest has none and is not ready until the next one; the store accepts only valid ones.

--- a/internal/engine/replica/operator.go
+++ b/internal/engine/replica/operator.go
@@ -96,34 +96,50 @@
 // Changed returns a channel that receives a value after records were applied.
 func (o *Operator) Changed() <-chan struct{} { return o.notify }
 
-// Reset implements Sink.
+// Reset implements Sink. A wave whose newest record cannot be decoded stays as it was.
 func (o *Operator) Reset(records []store.Record) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
+	former := maps.Clone(o.waves)
 	clear(o.zonesOut)
 	clear(o.waves)
-	o.mu.Unlock()
-	o.Apply(records)
+	for _, r := range records {
+		if wave, known := former[r.Key]; !o.applyRecord(r) && known {
+			o.waves[r.Key] = wave
+		}
+	}
+	o.notifyChange()
 }
 
-// Apply implements Sink.
+// Apply implements Sink. A record that cannot be decoded changes nothing.
 func (o *Operator) Apply(records []store.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range records {
-		change, err := o.decode(r)
-		if err != nil {
-			o.rejected.Reject(r, err)
-			continue
-		}
-		o.rejected.Accept(r.Key)
-		o.applyChange(change)
+		o.applyRecord(r)
 	}
+	o.notifyChange()
+}
+
+func (o *Operator) notifyChange() {
 	select {
 	case o.notify <- struct{}{}:
 	default:
 	}
 }
 
+// applyRecord applies a record and reports whether it can be decoded.
+func (o *Operator) applyRecord(r store.Record) bool {
+	change, err := o.decode(r)
+	if err != nil {
+		o.rejected.Reject(r, err)
+		return false
+	}
+	o.rejected.Accept(r.Key)
+	o.applyChange(change)
+	return true
+}
+
 func (o *Operator) applyChange(c OperatorChange) {
 	if m := c.Manifest; m != nil && (o.manifest == nil || m.Version > o.manifest.Version) {
 		o.log.Info("manifest in force", zap.Int64("version", m.Version), zap.Int("queues", len(m.Queues)))
