Replica: take records of jobs only under their own key and in range

Cause: a job's record under another key was a second job of the same id, whose state replaced that of the first: running tasks started again. A cancellation counted with any value, a record of any kind in keyed.statuses counted as a sign of the owner, an empty one removed its name, and numbers out of range in jobs and states were taken. Change: DecodeJob takes the id of the key and checks what comes from the manifest; a cancellation needs its time; only the owner's record shows that it is alive; DecodeState checks phases, numbers, and that a placed task has a worker. Conclusion: a job whose state record cannot be decoded is still left alone by the next owner, because its tasks could run twice.

--- a/internal/engine/odd_entries_test.go
+++ b/internal/engine/odd_entries_test.go
@@ -12,6 +12,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
@@ -287,3 +288,18 @@
 		c.awaitStatus(j.ID, work.Completed, maxLease+8*time.Second)
 	})
 }
+
+// TestJobUnderAnotherKeyRunsOnce guards against a running job that starts a second time because another writer left its record under another key.
+func TestJobUnderAnotherKeyRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 4, platformFormat: true})
+		defer c.close()
+		jobs := c.fillCluster("key", "normal", 4*time.Second)
+		for _, j := range jobs {
+			r, _ := c.store.Newest(replica.TopicJobs, replica.JobKey(j.ID))
+			c.store.Put(replica.TopicJobs, store.Record{Key: replica.JobKey("stray-" + j.ID), Value: r.Value})
+		}
+		c.awaitAll(jobs, 14*time.Second)
+		c.checkSingleRuns(jobs...)
+	})
+}
--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -224,13 +226,24 @@
 		return
 	}
 	if id, ok := strings.CutPrefix(r.Key, cancelKeyPrefix); ok {
-		e := s.entry(id)
-		e.Cancelled = len(r.Value) > 0
-		// An invalid time is treated as the earliest one, 0.
-		e.CancelledMS, _ = strconv.ParseInt(string(r.Value), 10, 64)
-		s.changed[id] = true
-		s.dropIfEmpty(id, e)
+		s.applyCancellation(id, r)
+	}
+}
+
+func (s submissionSink) applyCancellation(id string, r store.Record) {
+	e := s.entry(id)
+	defer s.dropIfEmpty(id, e)
+	if len(r.Value) == 0 {
+		e.Cancelled, e.CancelledMS = false, 0
+		return
 	}
+	at, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil || at < 0 {
+		s.rejectedJobs.Reject(r, trace.BadParameter("the cancellation has no time"))
+		return
+	}
+	e.Cancelled, e.CancelledMS = true, at
+	s.changed[id] = true
 }
 
 func (s submissionSink) applyJob(id string, r store.Record) {
@@ -243,7 +256,7 @@
 	if e.Job != nil {
 		return // the job was submitted at two hosts; the first record is valid
 	}
-	job, err := work.DecodeJob(r.Value)
+	job, err := work.DecodeJob(id, r.Value)
 	if err != nil {
 		s.rejectedJobs.Reject(r, err)
 		s.dropIfEmpty(id, e)
@@ -289,10 +302,9 @@
 func (s statusSink) Apply(records []store.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ownerSeenAt = s.now()
 	for _, r := range records {
-		if r.Key == ownerKey {
-			s.owner, s.ownerOffset = string(r.Value), r.Offset
+		if r.Key == ownerKey && len(r.Value) > 0 {
+			s.owner, s.ownerOffset, s.ownerSeenAt = string(r.Value), r.Offset, s.now()
 			continue
 		}
 		id, ok := strings.CutPrefix(r.Key, stateKeyPrefix)
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -216,12 +216,30 @@
 	return max(j.AcceptedMS, j.DueMS(step)) + int64(j.Stretch*float64(j.CriticalPathMS())) + int64(j.ObjectiveMS)
 }
 
-// DecodeJob decodes and validates a job's record.
-func DecodeJob(data []byte) (*Job, error) {
+// Limits of the values that a job's record takes from the manifest.
+const (
+	maxStretch     = 1e6
+	maxObjectiveMS = 1 << 40
+	maxPriority    = 1 << 20
+	maxMaxAttempts = 1 << 20
+)
+
+// DecodeJob decodes and validates the record of the job with the given id.
+func DecodeJob(id string, data []byte) (*Job, error) {
 	j := &Job{}
 	if err := json.Unmarshal(data, j); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	switch {
+	case j.ID == "" || j.ID != id:
+		return nil, trace.BadParameter("the record's key names another job")
+	case j.Priority < 0 || j.Priority > maxPriority || j.MaxAttempts < 1 || j.MaxAttempts > maxMaxAttempts:
+		return nil, trace.BadParameter("the job's priority or number of attempts is out of range")
+	case j.Stretch < 0 || j.Stretch > maxStretch || j.ObjectiveMS < 0 || j.ObjectiveMS > maxObjectiveMS:
+		return nil, trace.BadParameter("the job's objective is out of range")
+	case j.AcceptedMS < 0 || j.AcceptedMS > maxTimestampMS:
+		return nil, trace.BadParameter("the time of the job's acceptance is out of range")
+	}
 	return j, trace.Wrap(j.Validate())
 }
 
--- a/internal/engine/work/job_test.go
+++ b/internal/engine/work/job_test.go
@@ -33,3 +33,37 @@
 		t.Errorf("a job of %d tasks is rejected: %v", MaxTasks, err)
 	}
 }
+
+// TestOddStateIsRejected guards against a state record whose numbers or phases leave a task without any further run.
+func TestOddStateIsRejected(t *testing.T) {
+	j := &Job{ID: "a", Steps: []Step{{Tasks: 1}}}
+	for _, body := range []string{
+		`{"s":[{"t":[{"p":7}]}]}`, `{"s":[{"t":[{"p":-1}]}]}`, `{"s":[{"t":[{"r":-1}]}]}`, `{"s":[{"t":[{"r":9223372036854775807}]}]}`,
+		`{"s":[{"t":[{"p":1,"r":1}]}]}`, `{"s":[{"t":[{"p":1,"w":"w@1"}]}]}`, `{"s":[{"t":[{"f":-1}]}]}`, `{"s":[{"t":[{"x":-1}]}]}`,
+		`{"s":[{"f":-1,"t":[{}]}]}`, `{"s":[]}`, `{"s":[{"t":[{},{}]}]}`, `null`, `7`,
+	} {
+		if s, err := DecodeState(j, []byte("r1"+body)); err == nil {
+			t.Errorf("%s is decoded as %+v", body, s)
+		}
+	}
+	for _, body := range []string{`{"s":[{"t":[{}]}]}`, `{"s":[{"t":[{"p":1,"r":3,"w":"w@1","f":2,"x":1,"y":1,"u":true}]}]}`, `{"s":[{"t":[{"p":2,"r":1}]}]}`} {
+		if _, err := DecodeState(j, []byte("r1"+body)); err != nil {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+}
+
+// FuzzDecodeState guards against records that cause a panic or leave a state that cannot be encoded.
+func FuzzDecodeState(f *testing.F) {
+	j := &Job{ID: "a", MaxAttempts: 3, Steps: []Step{{Tasks: 2, Gang: true}}}
+	f.Add(NewState(j).Encode())
+	f.Add(j.Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if job, err := DecodeJob("a", data); err == nil && (job.StepCount() < 1 || job.DeadlineMS(0) < 0) {
+			t.Errorf("%q is decoded as %+v", data, job)
+		}
+		if s, err := DecodeState(j, data); err == nil && !s.Status.Ended() && s.NextRunNumber(0, []int{0, 1}) < 1 {
+			t.Errorf("%q is decoded as %+v", data, s)
+		}
+	})
+}
--- a/internal/engine/work/state.go
+++ b/internal/engine/work/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/gravitational/trace"
 )
@@ -50,6 +51,15 @@
 	Suspect      bool `json:"u,omitempty"`
 }
 
+// maxRunNumber is far above any number of runs of a task.
+const maxRunNumber = 1 << 31
+
+// valid reports whether the numbers are in range and a placed task has a run on a worker.
+func (t *TaskState) valid() bool {
+	return t.Phase <= Done && t.RunNumber >= 0 && t.RunNumber <= maxRunNumber && min(t.Failures, t.Crashes, t.FreshCrashes) >= 0 &&
+		(t.Phase != Placed || (t.RunNumber > 0 && t.Worker != ""))
+}
+
 // StepState is the state of one step.
 type StepState struct {
 	Failures   int         `json:"f,omitempty"` // failed runs of a gang
@@ -145,6 +155,9 @@
 		if len(s.Steps[i].Tasks) != j.StepAt(i).Tasks {
 			return nil, trace.BadParameter("state of job %s: step %d has %d tasks, but the job has %d", j.ID, i, len(s.Steps[i].Tasks), j.StepAt(i).Tasks)
 		}
+		if s.Steps[i].Failures < 0 || slices.ContainsFunc(s.Steps[i].Tasks, func(t TaskState) bool { return !t.valid() }) {
+			return nil, trace.BadParameter("state of job %s: step %d has a number or phase out of range", j.ID, i)
+		}
 	}
 	return s, nil
 }
