--- a/internal/engine/replica/jobs.go
+++ b/internal/engine/replica/jobs.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
+	"github.com/gravitational/trace"
 
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
@@ -97,12 +97,16 @@
 	ownerSeenAt time.Duration // when its last record was received
 	ownerOffset int64         // offset of its last record, or -1
 	now         boottime.Clock
-	log         *zap.Logger
+	// rejectedJobs and rejectedStatuses note the records that cannot be decoded.
+	rejectedJobs, rejectedStatuses *Rejections
 }
 
 // NewJobs returns an empty copy.
-func NewJobs(now boottime.Clock, log *zap.Logger) *Jobs {
-	return &Jobs{entries: map[string]*JobEntry{}, changed: map[string]bool{}, notify: make(chan struct{}, 1), ownerOffset: -1, now: now, log: log}
+func NewJobs(now boottime.Clock, rejectedJobs, rejectedStatuses *Rejections) *Jobs {
+	return &Jobs{
+		entries: map[string]*JobEntry{}, changed: map[string]bool{}, notify: make(chan struct{}, 1), ownerOffset: -1, now: now,
+		rejectedJobs: rejectedJobs, rejectedStatuses: rejectedStatuses,
+	}
 }
 
 // Owner returns the member name of the owner that wrote last, and the time since its last
@@ -120,12 +124,13 @@
 	return j.ownerOffset
 }
 
-// Get returns the entry of a job, and whether there is one.
+// Get returns the entry of a job, and whether there is one. A record that cannot be decoded is
+// none unless another record shows that the job was accepted.
 func (j *Jobs) Get(id string) (JobEntry, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	e, ok := j.entries[id]
-	if !ok {
+	if !ok || (e.Unreadable && e.isBlank()) {
 		return JobEntry{}, false
 	}
 	return *e, true
@@ -244,22 +249,33 @@
 
 func (s submissionSink) applyRecord(r store.Record) {
 	if id, ok := strings.CutPrefix(r.Key, jobKeyPrefix); ok {
-		s.applyJob(id, r.Value)
+		s.applyJob(id, r)
 		return
 	}
 	if id, ok := strings.CutPrefix(r.Key, cancelKeyPrefix); ok {
-		e := s.entry(id)
-		e.Cancelled = len(r.Value) > 0
-		// An invalid time is treated as the earliest one, 0.
-		e.CancelledMS, _ = strconv.ParseInt(string(r.Value), 10, 64)
-		s.changed[id] = true
-		s.dropIfEmpty(id, e)
+		s.applyCancellation(id, r)
+	}
+}
+
+func (s submissionSink) applyCancellation(id string, r store.Record) {
+	e := s.entry(id)
+	defer s.dropIfEmpty(id, e)
+	if len(r.Value) == 0 {
+		e.Cancelled, e.CancelledMS = false, 0
+		return
+	}
+	at, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil || at < 0 {
+		s.rejectedJobs.Reject(r, trace.BadParameter("the cancellation has no time"))
+		return
 	}
+	e.Cancelled, e.CancelledMS = true, at
+	s.changed[id] = true
 }
 
-func (s submissionSink) applyJob(id string, value []byte) {
+func (s submissionSink) applyJob(id string, r store.Record) {
 	e := s.entry(id)
-	if len(value) == 0 {
+	if len(r.Value) == 0 {
 		e.Job, e.Unreadable = nil, false
 		s.dropIfEmpty(id, e)
 		return
@@ -267,9 +283,9 @@
 	if e.Job != nil {
 		return // the job was submitted at two hosts; the first record is valid
 	}
-	job, err := work.DecodeJob(value)
+	job, err := work.DecodeJob(id, r.Value)
 	if err != nil {
-		s.log.Error("a job's record cannot be decoded; the job is not run", zap.String("job", id), zap.Error(err))
+		s.rejectedJobs.Reject(r, err)
 		e.Unreadable = true
 		return
 	}
@@ -277,9 +293,14 @@
 	s.changed[id] = true
 }
 
+// isBlank reports whether no record of the job has been decoded.
+func (e *JobEntry) isBlank() bool {
+	return e.Job == nil && !e.Cancelled && e.Status == work.Queued && !e.Started
+}
+
 // dropIfEmpty deletes an entry that holds no information. The caller holds the lock.
 func (j *Jobs) dropIfEmpty(id string, e *JobEntry) {
-	if e.Job == nil && !e.Unreadable && !e.Cancelled && e.Status == work.Queued && !e.Started {
+	if !e.Unreadable && e.isBlank() {
 		delete(j.entries, id)
 	}
 }
@@ -313,10 +334,9 @@
 func (s statusSink) Apply(records []store.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ownerSeenAt = s.now()
 	for _, r := range records {
-		if r.Key == ownerKey {
-			s.owner, s.ownerOffset = string(r.Value), r.Offset
+		if r.Key == ownerKey && len(r.Value) > 0 {
+			s.owner, s.ownerOffset, s.ownerSeenAt = string(r.Value), r.Offset, s.now()
 			continue
 		}
 		id, ok := strings.CutPrefix(r.Key, stateKeyPrefix)
@@ -330,7 +350,7 @@
 		}
 		status, started, err := work.DecodeHeader(r.Value)
 		if err != nil {
-			s.log.Error("a job's status cannot be decoded; the previous one is kept", zap.String("job", id), zap.Error(err))
+			s.rejectedStatuses.Reject(r, err) // the previous status is kept
 			s.dropIfEmpty(id, e)
 			continue
 		}
--- a/internal/engine/work/record.go
+++ b/internal/engine/work/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 
 	"github.com/gravitational/trace"
 )
@@ -213,6 +214,11 @@
 	if err != nil {
 		return nil, err
 	}
+	for i := range s.Steps {
+		if s.Steps[i].Failures < 0 || slices.ContainsFunc(s.Steps[i].Tasks, func(t TaskState) bool { return !t.valid() }) {
+			return nil, trace.BadParameter("state of job %s: step %d has a number or phase out of range", j.ID, i)
+		}
+	}
 	s.Status, s.Started = status, started
 	return s, nil
 }
--- a/internal/engine/work/state.go
+++ b/internal/engine/work/state.go
@@ -46,6 +46,15 @@
 	Suspect      bool `json:"u,omitempty"`
 }
 
+// maxRunNumber is far above any number of runs of a task.
+const maxRunNumber = 1 << 31
+
+// valid reports whether the numbers are in range and a placed task has a run on a worker.
+func (t *TaskState) valid() bool {
+	return t.Phase <= Done && t.RunNumber >= 0 && t.RunNumber <= maxRunNumber && min(t.Failures, t.Crashes, t.FreshCrashes) >= 0 &&
+		(t.Phase != Placed || (t.RunNumber > 0 && t.Worker != ""))
+}
+
 // StepState is the state of one step.
 type StepState struct {
 	Failures   int         `json:"f,omitempty"` // failed runs of a gang
