--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -38,10 +36,7 @@
 // TestSoak checks that every accepted job completes and is reported as completed, and that
 // the workers observe no violation.
 func TestSoak(t *testing.T) {
-	daemonPath := filepath.Join(t.TempDir(), "daisyfoldd")
-	if out, err := exec.Command("go", "build", "-o", daemonPath, "../../cmd/daisyfoldd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	daemonPath := buildDaemon(t)
 	all := regressions
 	for i := range *seedCount {
 		all = append(all, *firstSeed+uint64(i))
