Soak: use a network of its own for each test process

Change: the second byte of the addresses depends on the process id. Conclusion: soaks can run side by side, except for one pair of processes in 200.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -40,6 +40,13 @@
 	readyPort = 8523
 )
 
+// Clusters of several test processes use different networks, the second bytes of the hosts'
+// addresses.
+const (
+	firstNetwork = 10
+	networkCount = 200
+)
+
 // cluster is a deployment of daemon processes on loopback addresses, with a simulated
 // platform.
 type cluster struct {
@@ -121,7 +128,7 @@
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(proxy.Close)
-	p := &process{name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.7.%d.%d", subnet, i+1), proxy: proxy}
+	p := &process{name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networkCount, subnet, i+1), proxy: proxy}
 	p.settingsPath = filepath.Join(c.dir, p.name+".conf")
 	text := platformtest.SettingsText(p.name, fmt.Sprintf("zone-%d", i), fmt.Sprintf("%s:%d", p.ip, frontPort),
 		fmt.Sprintf("%s:%d", p.ip, readyPort), proxy.Address())
