Drain: answer what arrives on open connections until the grace period ends

Cause: at SIGTERM the host switched keep-alive off, which closes idle connections at once, and Shutdown closed those idle at the end. Requests on their way were dropped, also those already read: net/http drops a request that it has read while shutting down, and all pipelined requests after a response that closes the connection. Change: package drain keeps serving open connections. A response asks the client to close unless further requests have already arrived. The listener stops once the load balancer has noticed, after its queue is empty. Near the end, contexts of waiting requests are canceled so that they get their final response, and idle connections are closed after a non-blocking read for unread data; the same read serves requests that arrive as the idle timeout ends. A closed connection is half-closed and read empty, so that it is not reset. A host without connections still stops 2.5 s after the signal.

--- /dev/null
+++ b/internal/engine/drain/conn.go
@@ -0,0 +1,201 @@
+package drain
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// lingerTimeout bounds how long a connection that the server has closed waits for the
+	// client to close it too. Until then, received data is discarded: closing a connection
+	// with unread data would reset it, which can destroy a response on its way.
+	lingerTimeout = 500 * time.Millisecond
+	// readAheadBytes is the size of the buffer for the check for further requests.
+	readAheadBytes = 512
+)
+
+// past is a deadline that makes a blocked read return.
+var past = time.Unix(1, 0)
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// conn is a server's connection. It implements net.Conn for http.Server, which reads from
+// one goroutine at a time.
+type conn struct {
+	*net.TCPConn
+	server *Server
+
+	mu           sync.Mutex
+	pending      []byte    // received data that Read returns first
+	busy         bool      // a request is being received or executed
+	noWait       bool      // reads do not wait for data
+	readDeadline time.Time // set by http.Server
+	peerClosed   bool      // the client has closed its side
+	closed       bool
+}
+
+// Read implements net.Conn. A read whose deadline has passed returns data that has arrived
+// nevertheless.
+func (c *conn) Read(p []byte) (int, error) {
+	if n := c.takePending(p); n > 0 {
+		return n, nil
+	}
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readAvailable(p, err)
+	}
+	c.recordRead(n, err)
+	return n, err
+}
+
+func (c *conn) takePending(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.pending)
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
+	}
+	return n
+}
+
+// readAvailable reads received data without waiting. It returns errEmpty if there is none.
+func (c *conn) readAvailable(p []byte, errEmpty error) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil || len(p) == 0 {
+		return 0, err
+	}
+	var readErr error
+	err = raw.Control(func(fd uintptr) {
+		for {
+			if n, readErr = syscall.Read(int(fd), p); !errors.Is(readErr, syscall.EINTR) {
+				return
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, syscall.EAGAIN):
+		return 0, errEmpty
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", readErr)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// recordRead updates the state after a read. Data that arrives on a connection that is to
+// be closed as idle begins a request, whose rest is waited for.
+func (c *conn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.setBusyLocked()
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.peerClosed = true
+	}
+}
+
+func (c *conn) setBusyLocked() {
+	c.busy = true
+	if c.noWait && c.server.phase.Load() < phaseClosing {
+		c.noWait = false
+		_ = c.TCPConn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+func (c *conn) markBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setBusyLocked()
+}
+
+func (c *conn) markIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
+// interrupt makes reads return without waiting for data, which makes http.Server close an
+// idle connection. It does nothing for a busy connection unless all is true.
+func (c *conn) interrupt(all bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.noWait || c.busy && !all {
+		return
+	}
+	c.noWait = true
+	_ = c.TCPConn.SetReadDeadline(past)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.noWait {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// readAhead adds the given and the received data to the data that the next reads return,
+// and reports whether there is any.
+func (c *conn) readAhead(buffered []byte) bool {
+	data := make([]byte, readAheadBytes)
+	n, err := c.readAvailable(data, os.ErrDeadlineExceeded)
+	c.recordRead(n, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = slices.Concat(buffered, c.pending, data[:n])
+	return len(c.pending) > 0
+}
+
+// Close implements net.Conn. It closes the sending side, and the connection once the client
+// has closed its side or lingerTimeout has passed.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	alreadyClosed, peerClosed := c.closed, c.peerClosed
+	c.closed, c.busy = true, false
+	c.mu.Unlock()
+	if alreadyClosed {
+		return net.ErrClosed
+	}
+	if peerClosed || c.CloseWrite() != nil {
+		return c.finish()
+	}
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	go func() {
+		_, _ = io.Copy(io.Discard, onlyReader{c.TCPConn}) // an error or EOF ends the wait
+		_ = c.finish()
+	}()
+	return nil
+}
+
+func (c *conn) finish() error {
+	c.server.remove(c)
+	return c.TCPConn.Close()
+}
+
+// onlyReader hides all other methods of a reader.
+type onlyReader struct{ io.Reader }
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine"
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
+	"github.com/daisyfold/daisyfold/internal/engine/drain"
 	"github.com/daisyfold/daisyfold/internal/engine/scheduler"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/logging"
@@ -38,15 +39,6 @@
 	maxHeaderBytes    = 16 << 10
 )
 
-const (
-	// deregistrationDelay is how long a stopping host continues to accept requests, until
-	// the load balancer has noticed that it is not ready.
-	deregistrationDelay = 2500 * time.Millisecond
-	// shutdownMargin is subtracted from the time until the platform kills a stopping
-	// process.
-	shutdownMargin = 1500 * time.Millisecond
-)
-
 const (
 	// softMemoryLimitFraction is the fraction of the process's memory limit that is set as
 	// the memory limit of the Go runtime, near which the garbage collector runs more
@@ -154,10 +146,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	followerCtx, stopFollowers := context.WithCancel(ctx)
 	defer stopFollowers()
-	frontServer := newServer(platform.NewFrontHandler(h.engine.Intake))
+	frontServer := drain.NewServer(newServer(platform.NewFrontHandler(h.engine.Intake)), h.log)
 	readyServer := newServer(http.HandlerFunc(h.serveReady))
 	metricsServer := newServer(metrics.Handler(h.registry))
-	serve(group, frontServer, frontListener)
+	group.Go(func() error { return frontServer.Serve(frontListener) })
 	serve(group, readyServer, readyListener)
 	serve(group, metricsServer, metricsListener)
 	group.Go(func() error { return h.engine.RunFollowers(followerCtx) })
@@ -172,7 +164,8 @@
 		}
 		stopScheduler()
 		<-schedulerStopped
-		h.drain(frontServer, readyServer, metricsServer)
+		h.drain(frontServer)
+		_, _ = readyServer.Close(), metricsServer.Close() // open probes and scrapes may be aborted
 		stopFollowers()
 		return nil
 	})
@@ -181,12 +174,12 @@
 	return err
 }
 
-func listen(address string) (net.Listener, error) {
+func listen(address string) (*net.TCPListener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return l, nil
+	return l.(*net.TCPListener), nil
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -218,21 +211,3 @@
 	}
 	rw.WriteHeader(http.StatusOK)
 }
-
-// drain reports the host as not ready, waits until the load balancer has noticed, and
-// closes the servers once the open requests have ended or the grace period is nearly over.
-func (h *Host) drain(frontServer *http.Server, others ...*http.Server) {
-	h.stopping.Store(true)
-	h.log.Info("drain", zap.Duration("grace", h.settings.ShutdownGracePeriod))
-	delay := min(deregistrationDelay, h.settings.ShutdownGracePeriod/2)
-	frontServer.SetKeepAlivesEnabled(false)
-	time.Sleep(delay)
-	ctx, cancel := context.WithTimeout(context.Background(), max(h.settings.ShutdownGracePeriod-delay-shutdownMargin, shutdownMargin))
-	defer cancel()
-	if err := frontServer.Shutdown(ctx); err != nil {
-		h.log.Warn("requests were still open at the end of the drain", zap.Error(err))
-	}
-	for _, s := range others {
-		_ = s.Close() // open probes and scrapes may be aborted
-	}
-}
