Host: stop within the current grace period

Cause: the scheduler's stop, which takes as long as the store needs, came before the host was reported as not ready and before the drain, so the times added up; with a silent store hosts were killed in the middle of requests. A reload did not change the grace period either. Change: the host is not ready at once, and the scheduler stops while callers are served. All deadlines count from the signal and from the grace period of the settings in force; at the last one the process ends even if the scheduler still waits for the store. Closing the listener still has a race.

--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -55,12 +55,15 @@
 	engine    *engine.Engine
 	stopping  atomic.Bool
 	lastReady atomic.Bool // result of the last readiness probe
+	// gracePeriod is the time from SIGTERM to SIGKILL, in nanoseconds.
+	gracePeriod atomic.Int64
 }
 
 // New returns a host, which starts nothing before Run. droppedLines returns the number of
 // lines that the logger has dropped.
 func New(s *platform.Settings, log *zap.Logger, droppedLines func() int64) *Host {
 	h := &Host{settings: s, registry: gometrics.NewRegistry(), log: logging.WithPart(log, "host")}
+	h.gracePeriod.Store(int64(s.ShutdownGracePeriod))
 	metrics.RegisterCounter(h.registry, "log.dropped", droppedLines)
 	h.registerMetrics()
 	h.engine = engine.New(engine.Options{
@@ -114,6 +117,7 @@
 // resource limits need a restart. Open connections are not closed.
 func (h *Host) Reload(s *platform.Settings) {
 	h.engine.SetBounds(bounds(s), s.MaxRevocationDelay)
+	h.gracePeriod.Store(int64(s.ShutdownGracePeriod))
 	needsRestart := s.Host != h.settings.Host || s.FrontAddress != h.settings.FrontAddress || s.ReadyAddress != h.settings.ReadyAddress || s.StoreAddress != h.settings.StoreAddress
 	h.log.Info("settings reloaded", zap.Bool("addresses_need_restart", needsRestart))
 }
@@ -127,7 +131,7 @@
 }
 
 // Run serves until stop is closed or the context ends, then gives up ownership, drains
-// the open requests and returns.
+// the open requests and returns within the grace period.
 func (h *Host) Run(ctx context.Context, stop <-chan struct{}) error {
 	frontListener, err := listen(h.settings.FrontAddress.String())
 	if err != nil {
@@ -157,19 +161,17 @@
 	defer stopScheduler()
 	schedulerStopped := make(chan struct{})
 	group.Go(func() error { defer close(schedulerStopped); return h.engine.RunScheduler(schedulerCtx) })
-	group.Go(func() error {
-		select {
-		case <-stop:
-		case <-ctx.Done():
-		}
-		stopScheduler()
-		<-schedulerStopped
-		h.drain(frontServer)
-		_, _ = readyServer.Close(), metricsServer.Close() // open probes and scrapes may be aborted
-		stopFollowers()
-		return nil
-	})
-	err = group.Wait()
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	deadlines := h.beginStop()
+	stopScheduler() // takes its time while callers are served
+	h.drain(frontServer, deadlines)
+	waitUntil(schedulerStopped, deadlines.End)
+	_, _ = readyServer.Close(), metricsServer.Close() // open probes and scrapes may be aborted
+	stopFollowers()
+	err = h.waitForGroup(group, deadlines.End)
 	h.log.Info("stop", zap.Error(err))
 	return err
 }
--- a/internal/engine/host/shutdown.go
+++ b/internal/engine/host/shutdown.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/daisyfold/daisyfold/internal/engine/drain"
 )
@@ -36,12 +37,44 @@
 	}
 }
 
-// drain reports the host as not ready and serves callers until they have closed their
-// connections or the grace period is nearly over.
-func (h *Host) drain(frontServer *drain.Server) {
+// beginStop reports the host as not ready and returns the deadlines of the stop.
+func (h *Host) beginStop() drain.Deadlines {
 	h.stopping.Store(true)
-	h.log.Info("drain", zap.Duration("grace", h.settings.ShutdownGracePeriod))
-	if unfinished := frontServer.Drain(shutdownDeadlines(time.Now(), h.settings.ShutdownGracePeriod)); unfinished > 0 {
+	grace := time.Duration(h.gracePeriod.Load())
+	h.log.Info("drain", zap.Duration("grace", grace))
+	return shutdownDeadlines(time.Now(), grace)
+}
+
+// drain serves callers until they have closed their connections or the grace period is
+// nearly over.
+func (h *Host) drain(frontServer *drain.Server, d drain.Deadlines) {
+	if unfinished := frontServer.Drain(d); unfinished > 0 {
 		h.log.Warn("requests were still open at the end of the drain", zap.Int("connections", unfinished))
 	}
 }
+
+// waitUntil waits until done is closed or the deadline has passed, and reports whether done
+// was closed.
+func waitUntil(done <-chan struct{}, deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// waitForGroup returns the error of the group. At the deadline it gives up and returns nil:
+// what still runs may be killed at any time.
+func (h *Host) waitForGroup(group *errgroup.Group, deadline time.Time) error {
+	done := make(chan struct{})
+	var err error
+	go func() { defer close(done); err = group.Wait() }()
+	if !waitUntil(done, deadline) {
+		h.log.Warn("the host did not stop in time")
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/engine/host/shutdown_test.go
@@ -0,0 +1,85 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisyfold/daisyfold/platform"
+)
+
+func testSettings(address string) *platform.Settings {
+	return &platform.Settings{
+		Host: "host-1", Zone: "zone-1", FrontAddress: netip.MustParseAddrPort(address + ":8521"), ReadyAddress: netip.MustParseAddrPort(address + ":8523"),
+		StoreAddress: netip.MustParseAddrPort(address + ":1"), CPUShare: 0.4, MinMembershipTTL: time.Second, MaxRevocationDelay: 5 * time.Second,
+		ShutdownGracePeriod: 6 * time.Second, MaxLease: 6 * time.Second, WorkerHeartbeatInterval: 1500 * time.Millisecond,
+	}
+}
+
+func newTestHost(s *platform.Settings) *Host {
+	return New(s, zap.NewNop(), func() int64 { return 0 })
+}
+
+// TestShutdownDeadlines guards against stops that exceed the grace period, and against
+// connections that are refused before the load balancer has noticed the stop.
+func TestShutdownDeadlines(t *testing.T) {
+	start := time.Now()
+	for _, grace := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 6 * time.Second, time.Minute} {
+		d := shutdownDeadlines(start, grace)
+		times := []time.Time{start, d.Deregistered, d.Refuse, d.Answer, d.Cut, d.End, start.Add(grace)}
+		for i := range times[1:] {
+			if !times[i].Before(times[i+1]) {
+				t.Errorf("grace period %v: deadline %d, %v, is not before the next one, %v", grace, i, times[i].Sub(start), times[i+1].Sub(start))
+			}
+		}
+	}
+	if d := shutdownDeadlines(start, 6*time.Second).Refuse.Sub(start); d < 4*time.Second {
+		t.Errorf("connections are refused %v after the signal", d)
+	}
+}
+
+// TestReloadedGracePeriod guards against a stop that uses the grace period of the settings
+// at the start.
+func TestReloadedGracePeriod(t *testing.T) {
+	s := testSettings("127.9.0.1")
+	h := newTestHost(s)
+	changed := *s
+	changed.ShutdownGracePeriod = 2 * time.Second
+	h.Reload(&changed)
+	if end := time.Until(h.beginStop().End); end > 2*time.Second {
+		t.Errorf("the stop ends %v after the signal", end)
+	}
+}
+
+// TestStopWithoutStoreKeepsGracePeriod guards against a stop that is prolonged by calls to a
+// store that does not answer, and against a host that stays ready meanwhile.
+func TestStopWithoutStoreKeepsGracePeriod(t *testing.T) {
+	s := testSettings("127.9.0.2")
+	store, err := net.Listen("tcp", "127.9.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = store.Close() }()
+	s.StoreAddress = netip.MustParseAddrPort(store.Addr().String()) // accepts connections and is silent
+	s.ShutdownGracePeriod = 1500 * time.Millisecond
+	h := newTestHost(s)
+	stop := make(chan struct{})
+	done := make(chan error, 1)
+	go func() { done <- h.Run(context.Background(), stop) }()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	start := time.Now()
+	for !h.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(start); d > s.ShutdownGracePeriod {
+		t.Errorf("the stop took %v", d)
+	}
+}
