Drain: stop listening right after the queue was found empty

Cause: connections that arrive between the last accept and the close of the listener are reset with what they carry. Change: the listener is shut down in the same call that finds its queue empty, without the scheduler of the runtime between. Conclusion: a gap of two system calls remains, which a connection can still meet.

--- a/internal/engine/drain/listener.go
+++ b/internal/engine/drain/listener.go
@@ -36,7 +36,7 @@
 			l.failing = false
 			return l.server.add(tcp), nil
 		case errors.Is(err, syscall.EAGAIN):
-			_ = l.Close() // at once, because it resets connections that arrive now
+			_ = l.Close()
 			return nil, http.ErrServerClosed
 		case errors.Is(err, net.ErrClosed):
 			return nil, http.ErrServerClosed
@@ -46,7 +46,8 @@
 	}
 }
 
-// acceptQueued accepts a connection without waiting. It returns EAGAIN if the queue is empty.
+// acceptQueued accepts a connection without waiting. If the queue is empty, it stops
+// listening at once, because what arrives until then will be reset, and returns EAGAIN.
 func (l *listener) acceptQueued() (*net.TCPConn, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -56,6 +57,9 @@
 	var acceptErr error
 	if err := raw.Control(func(listenerFD uintptr) {
 		fd, _, acceptErr = syscall.Accept4(int(listenerFD), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if errors.Is(acceptErr, syscall.EAGAIN) {
+			_ = syscall.Shutdown(int(listenerFD), syscall.SHUT_RD) // Accept closes the listener in any case
+		}
 	}); err != nil {
 		return nil, err
 	}
