--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -257,3 +258,32 @@
 	}
 	r.t.Errorf("%d requests got no complete response, %d of them later than %v after their last byte", len(r.log.lost), late, lossSlack)
 }
+
+// TestSignalsRightAfterStart guards against a signal that ends the process without a drain
+// because it arrives while the daemon starts.
+func TestSignalsRightAfterStart(t *testing.T) {
+	c := newCluster(t, buildDaemon(t), 1)
+	p := c.hosts[0]
+	<-p.signal(syscall.SIGKILL)
+	for range 20 {
+		c.start(p)
+		awaitListener(net.JoinHostPort(p.ip, fmt.Sprint(readyPort)))
+		done := p.signal(syscall.SIGHUP)
+		select {
+		case <-done:
+			t.Errorf("ended: %v", p.command.ProcessState)
+		case <-time.After(50 * time.Millisecond):
+			<-p.signal(syscall.SIGKILL)
+		}
+	}
+}
+
+// awaitListener waits without pauses until the address accepts connections.
+func awaitListener(address string) {
+	for end := time.Now().Add(answerTimeout); time.Now().Before(end); {
+		if conn, err := net.Dial("tcp", address); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
