Intake: look up unknown jobs within the caller's timeout

Cause: a query or cancellation of a job that the copy does not have reads the store, one call after the other. With a silent store each waited for the timeouts of all before it, so callers got no answer in time; nothing bounded the wait but the callers' patience. Change: the look-up ends within the caller's timeout, and a cancellation's look-up and write share it. Conclusion: while the store is silent callers get 503 in time.

--- a/internal/engine/faults_test.go
+++ b/internal/engine/faults_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/daisyfold/daisyfold/internal/engine/intake"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
@@ -311,3 +313,34 @@
 		}
 	})
 }
+
+// TestUnknownJobWithoutStoreIsAnsweredInTime guards against status queries and cancellations
+// that wait for one another's reads of a silent store, beyond their callers' timeouts.
+func TestUnknownJobWithoutStoreIsAnsweredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 2})
+		defer c.close()
+		c.store.SetFaults(standin.StoreFaults{Down: true})
+		id := newJob(1).ID
+		host := c.anyHost()
+		call := newCall("/normal/" + id)
+		call.Timeout = 2 * time.Second
+		var calls sync.WaitGroup
+		for i := range 20 {
+			calls.Go(func() {
+				sent := time.Now()
+				var a intake.Answer
+				if i%2 == 0 {
+					a = host.Intake.Status(t.Context(), call, id)
+				} else {
+					a = host.Intake.Cancel(t.Context(), call, id)
+				}
+				if d := time.Since(sent); a.Outcome != intake.TryLater || d > call.Timeout {
+					t.Errorf("call %d: got %s after %v", i, a.Outcome, d)
+				}
+			})
+		}
+		calls.Wait()
+		c.store.SetFaults(standin.StoreFaults{})
+	})
+}
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -201,7 +201,9 @@
 	if _, _, refused := s.admit(c); refused != nil {
 		return *refused
 	}
-	e, known, refused := s.lookup(ctx, id)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout(c)) // for both calls to the store
+	defer cancel()
+	e, known, refused := s.lookup(ctx, c, id)
 	if refused != nil {
 		return *refused
 	}
@@ -223,7 +225,7 @@
 		s.log("status", c, id, *refused)
 		return *refused
 	}
-	e, known, refused := s.lookup(ctx, id)
+	e, known, refused := s.lookup(ctx, c, id)
 	if refused != nil {
 		s.log("status", c, id, *refused)
 		return *refused
@@ -263,12 +265,15 @@
 }
 
 // lookup returns the entry of a job. If the copy has no such job, lookup reads newer
-// records first, because another host may have just accepted it.
-func (s *Service) lookup(ctx context.Context, id string) (replica.JobEntry, bool, *Answer) {
+// records first, because another host may have just accepted it. It waits within the
+// caller's timeout.
+func (s *Service) lookup(ctx context.Context, c Call, id string) (replica.JobEntry, bool, *Answer) {
 	e, known := s.Jobs.Get(id)
 	if known && e.Job != nil {
 		return e, true, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout(c))
+	defer cancel()
 	if err := s.Submissions.SharedSync(ctx); err != nil {
 		return e, false, &Answer{Outcome: TryLater, Reason: "the store cannot be read", RetryAfter: retryAfter}
 	}
@@ -286,6 +291,9 @@
 	return Answer{Outcome: OK, Waiting: s.Jobs.CountWaiting(queue.ID())}
 }
 
+// storeTimeout returns how long a call may wait for the store.
+func storeTimeout(c Call) time.Duration { return max(c.Timeout-responseMargin, responseMargin) }
+
 // write appends a record to TopicJobs and retries within the caller's timeout.
 func (s *Service) write(ctx context.Context, c Call, r store.Record) Answer {
 	select {
@@ -294,7 +302,7 @@
 	default:
 		return Answer{Outcome: TryLater, Reason: "too many calls wait for the store", RetryAfter: retryAfter}
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout(c))
 	defer cancel()
 	maybeAppended := false // whether an earlier attempt may have succeeded
 	for attempt, delay := 1, initialRetryDelay; ; attempt, delay = attempt+1, delay*2 {
