--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -150,7 +150,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	followerCtx, stopFollowers := context.WithCancel(ctx)
 	defer stopFollowers()
-	frontServer := drain.NewServer(newServer(platform.NewFrontHandler(h.engine.Intake)), h.log)
+	frontServer := drain.NewServer(newServer(platform.NewFrontHandler(h.engine.Intake, h.log)), h.log)
 	readyServer := newServer(http.HandlerFunc(h.serveReady))
 	metricsServer := newServer(metrics.Handler(h.registry))
 	group.Go(func() error { return frontServer.Serve(frontListener) })
