Host: close the ports of a failed start

Cause: when one of the three ports was in use, Run returned without closing those it had opened; connections to them would hang until the process ends. Change: the host listens on all ports or on none. Measured: TestFailedStartClosesPorts finds the port in use on the former code and passes now. Conclusion: small: the daemon exits after a failed start anyway.

--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -133,26 +133,20 @@
 // Run serves until stop is closed or the context ends, then gives up ownership, drains
 // the open requests and returns within the grace period.
 func (h *Host) Run(ctx context.Context, stop <-chan struct{}) error {
-	frontListener, err := listen(h.settings.FrontAddress.String())
-	if err != nil {
-		return err
-	}
-	readyListener, err := listen(h.settings.ReadyAddress.String())
-	if err != nil {
-		return err
-	}
-	metricsListener, err := listen(net.JoinHostPort(h.settings.FrontAddress.Addr().String(), strconv.Itoa(metricsPort)))
+	metricsAddress := net.JoinHostPort(h.settings.FrontAddress.Addr().String(), strconv.Itoa(metricsPort))
+	listeners, err := listenAll(h.settings.FrontAddress.String(), h.settings.ReadyAddress.String(), metricsAddress)
 	if err != nil {
 		return err
 	}
+	frontListener, readyListener, metricsListener := listeners[0], listeners[1], listeners[2]
 	h.log.Info("start", zap.String("host", h.settings.Host), zap.String("zone", h.settings.Zone),
-		zap.Stringer("front", h.settings.FrontAddress), zap.String("metrics", metricsListener.Addr().String()))
+		zap.Stringer("front", h.settings.FrontAddress), zap.String("metrics", metricsAddress))
 	group, ctx := errgroup.WithContext(ctx)
 	followerCtx, stopFollowers := context.WithCancel(ctx)
 	defer stopFollowers()
-	frontServer := drain.NewServer(newServer(platform.NewFrontHandler(h.engine.Intake, h.log)), h.log)
-	readyServer := newServer(http.HandlerFunc(h.serveReady))
-	metricsServer := newServer(metrics.Handler(h.registry))
+	frontServer := drain.NewServer(h.newServer(platform.NewFrontHandler(h.engine.Intake, h.log)), h.log)
+	readyServer := h.newServer(http.HandlerFunc(h.serveReady))
+	metricsServer := h.newServer(metrics.Handler(h.registry))
 	group.Go(func() error { return frontServer.Serve(frontListener) })
 	serve(group, readyServer, readyListener)
 	serve(group, metricsServer, metricsListener)
@@ -176,6 +170,22 @@
 	return err
 }
 
+// listenAll listens on all addresses, or on none of them if one fails.
+func listenAll(addresses ...string) ([]*net.TCPListener, error) {
+	var listeners []*net.TCPListener
+	for _, address := range addresses {
+		l, err := listen(address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 func listen(address string) (*net.TCPListener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -184,8 +194,10 @@
 	return l.(*net.TCPListener), nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 }
 
 func serve(group *errgroup.Group, s *http.Server, l net.Listener) {
--- a/internal/engine/host/shutdown_test.go
+++ b/internal/engine/host/shutdown_test.go
@@ -83,3 +83,22 @@
 		t.Errorf("the stop took %v", d)
 	}
 }
+
+// TestFailedStartClosesPorts guards against ports that stay open after a failed start, where
+// connections would hang.
+func TestFailedStartClosesPorts(t *testing.T) {
+	s := testSettings("127.9.0.3")
+	ready, err := net.Listen("tcp", s.ReadyAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ready.Close() }()
+	if err := newTestHost(s).Run(context.Background(), nil); err == nil {
+		t.Fatal("started although a port is in use")
+	}
+	front, err := net.Listen("tcp", s.FrontAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = front.Close()
+}
