Host: write errors of the HTTP servers to the host's log

Cause: http.Server writes its errors to standard error and waits; with a full pipe that blocks the connection's goroutine, and at an accept error the accept loop. Change: the errors go to the host's log, which drops lines instead of waiting. Measured: TestServerErrorsGoToTheLog finds no line on the former code (it went to standard error) and passes now. A full pipe was not tried with real processes.

--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -194,9 +194,11 @@
 	return l.(*net.TCPListener), nil
 }
 
+// newServer returns a server whose errors go to the host's log, which never blocks.
 func (h *Host) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(h.log),
 	}
 }
 
--- a/internal/engine/host/shutdown_test.go
+++ b/internal/engine/host/shutdown_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/daisyfold/daisyfold/platform"
 )
@@ -102,3 +105,27 @@
 	}
 	_ = front.Close()
 }
+
+// TestServerErrorsGoToTheLog guards against errors of the HTTP server that are written to
+// standard error, where a full pipe blocks the server.
+func TestServerErrorsGoToTheLog(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	h := New(testSettings("127.9.0.4"), zap.New(core), func() int64 { return 0 })
+	l, err := listen("127.9.0.4:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := h.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("unexpected") }))
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	if response, err := http.Get("http://" + l.Addr().String()); err == nil {
+		_ = response.Body.Close()
+		t.Error("got a response from a handler that panics")
+	}
+	if err := server.Close(); err != nil {
+		t.Error(err)
+	}
+	if lines.FilterMessageSnippet("panic serving").Len() == 0 {
+		t.Error("the log has no line about the panic")
+	}
+}
