Host: allow for signals that are noticed late

Cause: all deadlines count from when the signal is noticed. Change: a stop ends 1 s instead of 0.5 s before the end of the grace period, and SIGTERM does not wait for a reload. Conclusion: a host without processor time for longer than 1 s would still be killed.

--- a/cmd/daisyfoldd/platform.go
+++ b/cmd/daisyfoldd/platform.go
@@ -20,14 +20,12 @@
 // without a signal.
 const settingsPollInterval = 5 * time.Second
 
-// signalQueueLength is the number of signals that may arrive before they are handled.
-const signalQueueLength = 4
-
 // runPlatform runs the daemon on the users' platform and returns the exit code. An
 // environment variable of the platform holds the path of the settings file.
 func runPlatform() int {
-	signals := make(chan os.Signal, signalQueueLength)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stopSignals, reloadSignals := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnvVar)
 	if path == "" {
 		fmt.Fprintf(os.Stderr, "daisyfoldd: %s is not set\n", platform.SettingsEnvVar)
@@ -47,7 +45,8 @@
 	defer func() { _ = logger.Sync() }() // writes queued log lines
 	h := host.New(s, logger, dropped)
 	stop := make(chan struct{})
-	go handleSignalsAndSettings(signals, path, logging.WithPart(logger, "host"), h, stop)
+	go func() { <-stopSignals; close(stop) }() // later signals have no effect
+	go reloadOnChange(reloadSignals, path, logging.WithPart(logger, "host"), h)
 	if err := h.Run(context.Background(), stop); err != nil {
 		fmt.Fprintln(os.Stderr, "daisyfoldd:", err)
 		return exitFailed
@@ -55,23 +54,16 @@
 	return 0
 }
 
-// handleSignalsAndSettings closes stop on SIGTERM or SIGINT. It reloads the settings on
-// SIGHUP and when the file has changed. Signals during a stop neither end nor delay it.
-func handleSignalsAndSettings(signals <-chan os.Signal, path string, log *zap.Logger, h *host.Host, stop chan<- struct{}) {
+// reloadOnChange reloads the settings on each signal and when the file has changed.
+func reloadOnChange(signals <-chan os.Signal, path string, log *zap.Logger, h *host.Host) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastData, _ := os.ReadFile(path) // runPlatform has just read it; the next poll reports an error
-	stopping := false
 	for {
 		select {
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				log.Info("received SIGHUP; reloading the settings")
-				lastData = reloadSettings(path, lastData, true, log, h)
-			} else if !stopping {
-				stopping = true
-				close(stop)
-			}
+		case <-signals:
+			log.Info("received SIGHUP; reloading the settings")
+			lastData = reloadSettings(path, lastData, true, log, h)
 		case <-ticker.C:
 			lastData = reloadSettings(path, lastData, false, log, h)
 		}
--- a/internal/engine/host/shutdown.go
+++ b/internal/engine/host/shutdown.go
@@ -15,12 +15,13 @@
 	deregistrationDelay = 2500 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace period, after which the
 	// platform kills the process, waiting requests get their final response. It is shorter
-	// if the grace period is.
-	shutdownMargin         = time.Second
-	minGracePerMargin      = 6 // shortest grace period as a multiple of the margin
-	refuseMarginFraction   = 1.5
-	cutMarginFraction      = 0.7
-	endMarginFraction      = 0.5
+	// if the grace period is. It allows for a host without processor time, which notices
+	// the signal late.
+	shutdownMargin         = 1500 * time.Millisecond
+	minGracePerMargin      = 4 // shortest grace period as a multiple of the margin
+	refuseMarginFraction   = 1.2
+	cutMarginFraction      = 0.8
+	endMarginFraction      = 0.65
 	maxDeregistrationShare = 0.5 // of the grace period
 )
 
--- a/internal/engine/host/shutdown_test.go
+++ b/internal/engine/host/shutdown_test.go
@@ -40,8 +40,12 @@
 			}
 		}
 	}
-	if d := shutdownDeadlines(start, 6*time.Second).Refuse.Sub(start); d < 4*time.Second {
-		t.Errorf("connections are refused %v after the signal", d)
+	d := shutdownDeadlines(start, 6*time.Second)
+	if refused := d.Refuse.Sub(start); refused < 4*time.Second {
+		t.Errorf("connections are refused %v after the signal", refused)
+	}
+	if end := d.End.Sub(start); end > 5100*time.Millisecond {
+		t.Errorf("the stop ends %v after the signal was noticed, which may be late", end)
 	}
 }
 
