Drain: serve requests that follow the last response

Cause: the server closed its side right after a response that asks the client to close the connection. A client that sends its next request before it reads that response, or does not look at it, got EOF. Change: the server waits 0.5 s for the client to close first, and serves what arrives until then. The soak has callers that use a connection until the host closes it. TestRequestAfterLastResponseIsServed guards it without processes.

--- a/internal/engine/drain/conn.go
+++ b/internal/engine/drain/conn.go
@@ -16,6 +16,10 @@
 	// client to close it too. Until then, received data is discarded: closing a connection
 	// with unread data would reset it, which can destroy a response on its way.
 	lingerTimeout = 500 * time.Millisecond
+	// closeDelay is how long the server waits after the last response for the client to close
+	// the connection. Requests that arrive until then are served: the client may have sent
+	// them before it read that response.
+	closeDelay = 500 * time.Millisecond
 	// readAheadBytes is the size of the buffer for the check for further requests.
 	readAheadBytes = 512
 )
@@ -37,6 +41,7 @@
 	busy         bool      // a request is being received or executed
 	noWait       bool      // reads do not wait for data
 	readDeadline time.Time // set by http.Server
+	closeBy      time.Time // an earlier deadline until data arrives; zero if there is none
 	peerClosed   bool      // the client has closed its side
 	closed       bool
 }
@@ -74,8 +79,8 @@
 	var readErr error
 	err = raw.Control(func(fd uintptr) {
 		for {
-			if n, readErr = syscall.Read(int(fd), p); !errors.Is(readErr, syscall.EINTR) {
-				return
+			if n, readErr = syscall.Read(int(fd), p); readErr != syscall.EINTR {
+				break
 			}
 		}
 	})
@@ -107,10 +112,32 @@
 
 func (c *conn) setBusyLocked() {
 	c.busy = true
-	if c.noWait && c.server.phase.Load() < phaseClosing {
-		c.noWait = false
-		_ = c.TCPConn.SetReadDeadline(c.readDeadline)
+	if !c.noWait && c.closeBy.IsZero() {
+		return
+	}
+	c.closeBy = time.Time{}
+	c.noWait = c.noWait && c.server.phase.Load() >= phaseClosing
+	c.applyReadDeadlineLocked()
+}
+
+func (c *conn) applyReadDeadlineLocked() {
+	deadline := c.readDeadline
+	switch {
+	case c.noWait:
+		deadline = past
+	case !c.closeBy.IsZero() && (deadline.IsZero() || c.closeBy.Before(deadline)):
+		deadline = c.closeBy
 	}
+	_ = c.TCPConn.SetReadDeadline(deadline) // an error means that the connection is closed
+}
+
+// awaitClose makes the connection idle and limits the wait for further data.
+func (c *conn) awaitClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	c.closeBy = time.Now().Add(closeDelay)
+	c.applyReadDeadlineLocked()
 }
 
 func (c *conn) markBusy() {
@@ -140,7 +167,7 @@
 		return
 	}
 	c.noWait = true
-	_ = c.TCPConn.SetReadDeadline(past)
+	c.applyReadDeadlineLocked()
 }
 
 // SetReadDeadline implements net.Conn.
@@ -148,10 +175,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.noWait {
-		return nil
-	}
-	return c.TCPConn.SetReadDeadline(t)
+	c.applyReadDeadlineLocked()
+	return nil
 }
 
 // SetDeadline implements net.Conn.
--- a/internal/engine/drain/drain_test.go
+++ b/internal/engine/drain/drain_test.go
@@ -341,3 +341,22 @@
 		t.Errorf("%d connections", s.countConns())
 	}
 }
+
+// TestRequestAfterLastResponseIsServed guards against a request that is dropped because the
+// client sent it before it read that the connection is to be closed.
+func TestRequestAfterLastResponseIsServed(t *testing.T) {
+	s := newTestServer(t, respond)
+	s.start()
+	c := s.dial()
+	s.drain(0, 5*time.Second, 6*time.Second)
+	for range 3 {
+		c.send(get)
+		c.expect(http.StatusOK, true)
+		time.Sleep(closeDelay / 5)
+	}
+	start := time.Now()
+	c.expectEOF()
+	if d := time.Since(start); d > 2*closeDelay {
+		t.Errorf("closed after %v", d)
+	}
+}
--- a/internal/engine/drain/handler.go
+++ b/internal/engine/drain/handler.go
@@ -46,19 +46,21 @@
 	if err != nil {
 		return false
 	}
-	keepOpen := s.hasFurtherRequest(c, buffered.Reader) && !r.Close && r.ProtoAtLeast(1, 1)
-	if err := w.writeTo(c, r, keepOpen); err != nil || !keepOpen {
+	last := !s.hasFurtherRequest(c, buffered.Reader) || r.Close || !r.ProtoAtLeast(1, 1)
+	if err := w.writeTo(c, r, last); err != nil || r.Close || !r.ProtoAtLeast(1, 1) || s.phase.Load() >= phaseClosing {
 		_ = c.Close()
 		return true
 	}
+	if last {
+		c.awaitClose()
+	}
 	if err := s.http.Serve(&singleListener{conn: c}); !errors.Is(err, net.ErrClosed) {
 		_ = c.Close()
 	}
 	return true
 }
 
-// hasFurtherRequest reports whether data of a further request has arrived and is to be
-// served.
+// hasFurtherRequest reports whether data of a further request has arrived and can be served.
 func (s *Server) hasFurtherRequest(c *conn, r *bufio.Reader) bool {
 	buffered, _ := r.Peek(r.Buffered()) // cannot fail: the data is buffered
 	return c.readAhead(buffered) && s.phase.Load() < phaseClosing
@@ -109,12 +111,12 @@
 }
 
 // writeTo writes the recorded response in one piece.
-func (w *responseWriter) writeTo(out io.Writer, r *http.Request, keepOpen bool) error {
+func (w *responseWriter) writeTo(out io.Writer, r *http.Request, last bool) error {
 	header := w.Header()
 	header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	response := http.Response{
 		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Request: r, Header: header,
-		Body: io.NopCloser(&w.body), ContentLength: int64(w.body.Len()), Close: !keepOpen,
+		Body: io.NopCloser(&w.body), ContentLength: int64(w.body.Len()), Close: last,
 	}
 	var data bytes.Buffer
 	if err := response.Write(&data); err != nil {
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -108,6 +108,8 @@
 	rng    *rand.Rand
 	body   []byte // of submissions
 	jobs   int    // number of submitted jobs
+	// ignoresClose is set for a caller that uses a connection until the host closes it.
+	ignoresClose bool
 }
 
 func (c *caller) stopped() bool {
@@ -184,7 +186,7 @@
 			return false
 		}
 		c.log.countAnswer(response.StatusCode, q)
-		return !response.Close
+		return c.ignoresClose || !response.Close
 	}
 }
 
@@ -233,6 +235,7 @@
 }{
 	{"keep-alive", func(c *caller, conn *rawConn) { c.repeat(conn, 0, 12) }},
 	{"idle", func(c *caller, conn *rawConn) { c.repeat(conn, 300, 6000) }},
+	{"ignores-close", func(c *caller, conn *rawConn) { c.ignoresClose = true; c.repeat(conn, 0, 12) }},
 	{"several-connections", (*caller).useSeveral},
 	{"pipelined", (*caller).usePipeline},
 	{"expect-continue", (*caller).useExpectContinue},
