--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -61,6 +61,12 @@
 	Timeout time.Duration
 }
 
+// withTimeout returns a context that ends early enough for the response to reach the caller
+// in time.
+func (c Call) withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
+}
+
 const (
 	// retryAfter is the delay that rejected callers are told to wait: about the time of a
 	// takeover or of a short outage of the store.
@@ -160,6 +166,8 @@
 // fields are set from the queue. A job that was already accepted is not changed.
 func (s *Service) Submit(ctx context.Context, c Call, job work.Job) Answer {
 	start := time.Now()
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
 	a := s.submit(ctx, c, &job)
 	s.updateMetrics("submission", a, start)
 	s.log("submission", c, job.ID, a)
@@ -185,12 +193,14 @@
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
 	job.AcceptedMS = s.WallClock().UnixMilli()
-	return s.write(ctx, c, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
+	return s.write(ctx, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
 }
 
 // Cancel cancels a job. It succeeds if the job has already ended.
 func (s *Service) Cancel(ctx context.Context, c Call, id string) Answer {
 	start := time.Now()
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
 	a := s.cancel(ctx, c, id)
 	s.updateMetrics("cancellation", a, start)
 	s.log("cancellation", c, id, a)
@@ -201,9 +211,7 @@
 	if _, _, refused := s.admit(c); refused != nil {
 		return *refused
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout(c)) // for both calls to the store
-	defer cancel()
-	e, known, refused := s.lookup(ctx, c, id)
+	e, known, refused := s.lookup(ctx, id)
 	if refused != nil {
 		return *refused
 	}
@@ -212,7 +220,7 @@
 	}
 	// The cancellation of an unknown job is also recorded, because another host may be
 	// executing its submission.
-	a := s.write(ctx, c, store.Record{Key: replica.CancelKey(id), Value: replica.CancelValue(s.WallClock())})
+	a := s.write(ctx, store.Record{Key: replica.CancelKey(id), Value: replica.CancelValue(s.WallClock())})
 	if a.Outcome == OK && (!known || e.Job == nil) {
 		return Answer{Outcome: NoJob, Reason: "no such job"}
 	}
@@ -221,11 +229,13 @@
 
 // Status returns the status of a job.
 func (s *Service) Status(ctx context.Context, c Call, id string) Answer {
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
 	if _, _, refused := s.admit(c); refused != nil {
 		s.log("status", c, id, *refused)
 		return *refused
 	}
-	e, known, refused := s.lookup(ctx, c, id)
+	e, known, refused := s.lookup(ctx, id)
 	if refused != nil {
 		s.log("status", c, id, *refused)
 		return *refused
@@ -265,15 +275,12 @@
 }
 
 // lookup returns the entry of a job. If the copy has no such job, lookup reads newer
-// records first, because another host may have just accepted it. It waits within the
-// caller's timeout.
-func (s *Service) lookup(ctx context.Context, c Call, id string) (replica.JobEntry, bool, *Answer) {
+// records first, because another host may have just accepted it.
+func (s *Service) lookup(ctx context.Context, id string) (replica.JobEntry, bool, *Answer) {
 	e, known := s.Jobs.Get(id)
 	if known && e.Job != nil {
 		return e, true, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout(c))
-	defer cancel()
 	if err := s.Submissions.SharedSync(ctx); err != nil {
 		return e, false, &Answer{Outcome: TryLater, Reason: "the store cannot be read", RetryAfter: retryAfter}
 	}
@@ -291,19 +298,14 @@
 	return Answer{Outcome: OK, Waiting: s.Jobs.CountWaiting(queue.ID())}
 }
 
-// storeTimeout returns how long a call may wait for the store.
-func storeTimeout(c Call) time.Duration { return max(c.Timeout-responseMargin, responseMargin) }
-
-// write appends a record to TopicJobs and retries within the caller's timeout.
-func (s *Service) write(ctx context.Context, c Call, r store.Record) Answer {
+// write appends a record to TopicJobs and retries until the context ends.
+func (s *Service) write(ctx context.Context, r store.Record) Answer {
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	default:
 		return Answer{Outcome: TryLater, Reason: "too many calls wait for the store", RetryAfter: retryAfter}
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout(c))
-	defer cancel()
 	maybeAppended := false // whether an earlier attempt may have succeeded
 	for attempt, delay := 1, initialRetryDelay; ; attempt, delay = attempt+1, delay*2 {
 		attemptCtx, cancelAttempt := context.WithTimeout(ctx, store.AttemptTimeout(attempt, 0))
