--- a/internal/engine/drain/conn.go
+++ b/internal/engine/drain/conn.go
@@ -54,7 +54,7 @@
 	}
 	n, err := c.TCPConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readAvailable(p, err)
+		n, err = c.readAvailable(p, err, !c.isBusy())
 	}
 	c.recordRead(n, err)
 	return n, err
@@ -70,8 +70,10 @@
 	return n
 }
 
-// readAvailable reads received data without waiting. It returns errEmpty if there is none.
-func (c *conn) readAvailable(p []byte, errEmpty error) (n int, err error) {
+// readAvailable reads received data without waiting. If there is none, it returns errEmpty,
+// and if closeEmpty is true, it closes the sending side at once: a request that arrives
+// between the check and the close is lost.
+func (c *conn) readAvailable(p []byte, errEmpty error, closeEmpty bool) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil || len(p) == 0 {
 		return 0, err
@@ -83,6 +85,9 @@
 				break
 			}
 		}
+		if closeEmpty && readErr == syscall.EAGAIN {
+			_ = syscall.Shutdown(int(fd), syscall.SHUT_WR) // Close shuts it down in any case
+		}
 	})
 	switch {
 	case err != nil:
@@ -188,7 +193,7 @@
 // and reports whether there is any.
 func (c *conn) readAhead(buffered []byte) bool {
 	data := make([]byte, readAheadBytes)
-	n, err := c.readAvailable(data, os.ErrDeadlineExceeded)
+	n, err := c.readAvailable(data, os.ErrDeadlineExceeded, false)
 	c.recordRead(n, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/engine/drain/drain_test.go
+++ b/internal/engine/drain/drain_test.go
@@ -273,7 +273,7 @@
 		t.Error(err)
 	}
 	c.send(get)
-	if _, err := server.readAvailable(nil, nil); err != nil {
+	if _, err := server.readAvailable(nil, nil, false); err != nil {
 		t.Error(err)
 	}
 	time.Sleep(50 * time.Millisecond)
