Drain: answer waiting calls before idle connections are closed

Cause: waiting calls got their final response at the same time as idle connections were closed, and callers that were released then used their other connections. Pipelined requests that had been received were dropped when those before them took until the server stopped waiting for data. Change: idle connections are closed 0.18 s after the final responses, the listener is closed earlier, and what has been received is answered until the end. Callers that ignore the wish to close a connection and use it without a pause may lose, at the last close, at most one request for each stop of a host, if it got EOF within 20 ms: HTTP/1.1 has no way to close a connection in use without that. All other callers may lose none, as before.

--- a/internal/engine/drain/handler.go
+++ b/internal/engine/drain/handler.go
@@ -46,8 +46,8 @@
 	if err != nil {
 		return false
 	}
-	last := !s.hasFurtherRequest(c, buffered.Reader) || r.Close || !r.ProtoAtLeast(1, 1)
-	if err := w.writeTo(c, r, last); err != nil || r.Close || !r.ProtoAtLeast(1, 1) || s.phase.Load() >= phaseClosing {
+	last := r.Close || !r.ProtoAtLeast(1, 1) || !hasFurtherRequest(c, buffered.Reader)
+	if err := w.writeTo(c, r, last); err != nil || r.Close || !r.ProtoAtLeast(1, 1) {
 		_ = c.Close()
 		return true
 	}
@@ -60,10 +60,10 @@
 	return true
 }
 
-// hasFurtherRequest reports whether data of a further request has arrived and can be served.
-func (s *Server) hasFurtherRequest(c *conn, r *bufio.Reader) bool {
+// hasFurtherRequest reports whether data of a further request has arrived.
+func hasFurtherRequest(c *conn, r *bufio.Reader) bool {
 	buffered, _ := r.Peek(r.Buffered()) // cannot fail: the data is buffered
-	return c.readAhead(buffered) && s.phase.Load() < phaseClosing
+	return c.readAhead(buffered)
 }
 
 // responseWriter records the response if the server is draining when it is written, and
--- a/internal/engine/drain/server.go
+++ b/internal/engine/drain/server.go
@@ -21,7 +21,9 @@
 const (
 	// phaseDraining: responses ask the client to close the connection.
 	phaseDraining int32 = iota + 1
-	// phaseClosingIdle: contexts of requests are canceled and idle connections are closed.
+	// phaseAnswering: contexts of requests are canceled.
+	phaseAnswering
+	// phaseClosingIdle: idle connections are closed.
 	phaseClosingIdle
 	// phaseClosing: each connection is closed after what has been received is answered.
 	phaseClosing
@@ -43,8 +45,11 @@
 	// Refuse is when the server stops accepting connections in any case. It is earlier than
 	// Answer, so that new connections carry their first request by then.
 	Refuse time.Time
-	// Answer is when the contexts of requests are canceled and idle connections are closed.
+	// Answer is when the contexts of requests are canceled.
 	Answer time.Time
+	// CloseIdle is when idle connections are closed. It is later than Answer, because clients
+	// that have waited for a response may then use their other connections.
+	CloseIdle time.Time
 	// Cut is when the server stops waiting for the rest of unfinished requests.
 	Cut time.Time
 	// End is when the connections that are still open are closed.
@@ -88,7 +93,7 @@
 	defer close(s.stopped)
 	wrapped := &listener{TCPListener: l, server: s}
 	s.listener.Store(wrapped)
-	if s.phase.Load() >= phaseClosingIdle {
+	if s.phase.Load() >= phaseAnswering {
 		wrapped.stop()
 	}
 	if err := s.http.Serve(wrapped); !errors.Is(err, http.ErrServerClosed) {
@@ -114,8 +119,10 @@
 			return s.end()
 		case !now.Before(d.Cut):
 			s.advance(phaseClosing)
-		case !now.Before(d.Answer):
+		case !now.Before(d.CloseIdle):
 			s.advance(phaseClosingIdle)
+		case !now.Before(d.Answer):
+			s.advance(phaseAnswering)
 		case !now.Before(d.Refuse), !now.Before(d.Deregistered) && now.Sub(emptySince) >= quietPeriod:
 			s.stopAccepting()
 		}
@@ -130,11 +137,14 @@
 // advance enters a phase and applies it to all connections.
 func (s *Server) advance(phase int32) {
 	s.phase.Store(phase)
-	if phase < phaseClosingIdle {
+	if phase < phaseAnswering {
 		return
 	}
 	s.cancelRequests()
 	s.stopAccepting()
+	if phase < phaseClosingIdle {
+		return
+	}
 	for _, c := range s.openConns() {
 		c.interrupt(phase == phaseClosing)
 	}
--- a/internal/engine/host/shutdown.go
+++ b/internal/engine/host/shutdown.go
@@ -17,12 +17,13 @@
 	// platform kills the process, waiting requests get their final response. It is shorter
 	// if the grace period is. It allows for a host without processor time, which notices
 	// the signal late.
-	shutdownMargin         = 1500 * time.Millisecond
-	minGracePerMargin      = 4 // shortest grace period as a multiple of the margin
-	refuseMarginFraction   = 1.2
-	cutMarginFraction      = 0.8
-	endMarginFraction      = 0.65
-	maxDeregistrationShare = 0.5 // of the grace period
+	shutdownMargin          = 1500 * time.Millisecond
+	minGracePerMargin       = 4 // shortest grace period as a multiple of the margin
+	refuseMarginFraction    = 1.5
+	closeIdleMarginFraction = 0.88
+	cutMarginFraction       = 0.8
+	endMarginFraction       = 0.6
+	maxDeregistrationShare  = 0.5 // of the grace period
 )
 
 // shutdownDeadlines returns the deadlines of a drain that begins at start and must end
@@ -34,7 +35,8 @@
 	}
 	return drain.Deadlines{
 		Deregistered: start.Add(min(deregistrationDelay, time.Duration(maxDeregistrationShare*float64(grace)))),
-		Refuse:       before(refuseMarginFraction), Answer: before(1), Cut: before(cutMarginFraction), End: before(endMarginFraction),
+		Refuse:       before(refuseMarginFraction), Answer: before(1), CloseIdle: before(closeIdleMarginFraction),
+		Cut: before(cutMarginFraction), End: before(endMarginFraction),
 	}
 }
 
