Drain: answer after a stall that passes several deadlines

Change: connections are closed 0.1 s after the server noticed that it must stop waiting, at the earliest. Measured: TestRequestsAreAnsweredIfDeadlinesPassTogether gets EOF on the former code and passes now.

--- a/internal/engine/drain/drain_test.go
+++ b/internal/engine/drain/drain_test.go
@@ -381,3 +381,20 @@
 		t.Errorf("%d unfinished requests", unfinished)
 	}
 }
+
+// TestRequestsAreAnsweredIfDeadlinesPassTogether guards against requests that are cut off
+// because the process was not run while the deadlines passed.
+func TestRequestsAreAnsweredIfDeadlinesPassTogether(t *testing.T) {
+	s := newTestServer(t, func(rw http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		respond(rw, r)
+	})
+	s.start()
+	c := s.dial()
+	c.send(get + get)
+	time.Sleep(50 * time.Millisecond)
+	s.drain(0, -time.Second, -time.Second/2)
+	c.expect(http.StatusOK, false)
+	c.expect(http.StatusOK, true)
+	c.expectEOF()
+}
--- a/internal/engine/drain/server.go
+++ b/internal/engine/drain/server.go
@@ -35,6 +35,9 @@
 	// quietPeriod is how long a draining server must have had no connection before it
 	// closes its listener early.
 	quietPeriod = 300 * time.Millisecond
+	// minClosingTime is the minimum time for the last responses. It matters if the process
+	// was not run for so long that several deadlines passed at once.
+	minClosingTime = 100 * time.Millisecond
 )
 
 // Deadlines are the times at which a draining server changes its behaviour, in their order.
@@ -52,7 +55,8 @@
 	CloseIdle time.Time
 	// Cut is when the server stops waiting for the rest of unfinished requests.
 	Cut time.Time
-	// End is when the connections that are still open are closed.
+	// End is when the connections that are still open are closed, but not within
+	// minClosingTime after the server has noticed Cut.
 	End time.Time
 }
 
@@ -109,15 +113,19 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	emptySince := time.Now()
+	var closingSince time.Time
 	for range ticker.C {
 		now := time.Now()
 		if s.countConns() > 0 {
 			emptySince = now
 		}
 		switch {
-		case !now.Before(d.End):
+		case !now.Before(d.End) && !closingSince.IsZero() && now.Sub(closingSince) >= minClosingTime:
 			return s.end()
 		case !now.Before(d.Cut):
+			if closingSince.IsZero() {
+				closingSince = now
+			}
 			s.advance(phaseClosing)
 		case !now.Before(d.CloseIdle):
 			s.advance(phaseClosingIdle)
