--- a/cmd/daisyfoldd/platform.go
+++ b/cmd/daisyfoldd/platform.go
@@ -23,6 +23,9 @@
 // runPlatform runs the daemon on the users' platform and returns the exit code. An
 // environment variable of the platform holds the path of the settings file.
 func runPlatform() int {
+	stopSignals, reloadSignals := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnvVar)
 	if path == "" {
 		fmt.Fprintf(os.Stderr, "daisyfoldd: %s is not set\n", platform.SettingsEnvVar)
@@ -42,7 +45,8 @@
 	defer func() { _ = logger.Sync() }() // writes queued log lines
 	h := host.New(s, logger, dropped)
 	stop := make(chan struct{})
-	go handleSignalsAndSettings(path, logging.WithPart(logger, "host"), h, stop)
+	go func() { <-stopSignals; close(stop) }() // later signals have no effect
+	go reloadOnChange(reloadSignals, path, logging.WithPart(logger, "host"), h)
 	if err := h.Run(context.Background(), stop); err != nil {
 		fmt.Fprintln(os.Stderr, "daisyfoldd:", err)
 		return exitFailed
@@ -50,21 +54,14 @@
 	return 0
 }
 
-// handleSignalsAndSettings closes stop and returns on SIGTERM or SIGINT. Until then it
-// reloads the settings on SIGHUP and when the file has changed.
-func handleSignalsAndSettings(path string, log *zap.Logger, h *host.Host, stop chan<- struct{}) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+// reloadOnChange reloads the settings on each signal and when the file has changed.
+func reloadOnChange(signals <-chan os.Signal, path string, log *zap.Logger, h *host.Host) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastData, _ := os.ReadFile(path) // runPlatform has just read it; the next poll reports an error
 	for {
 		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				close(stop)
-				return
-			}
+		case <-signals:
 			log.Info("received SIGHUP; reloading the settings")
 			lastData = reloadSettings(path, lastData, true, log, h)
 		case <-ticker.C:
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine"
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
+	"github.com/daisyfold/daisyfold/internal/engine/drain"
 	"github.com/daisyfold/daisyfold/internal/engine/scheduler"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
@@ -39,15 +40,6 @@
 	maxHeaderBytes    = 16 << 10
 )
 
-const (
-	// deregistrationDelay is how long a stopping host continues to accept requests, until
-	// the load balancer has noticed that it is not ready.
-	deregistrationDelay = 2500 * time.Millisecond
-	// shutdownMargin is subtracted from the time until the platform kills a stopping
-	// process.
-	shutdownMargin = 1500 * time.Millisecond
-)
-
 const (
 	// softMemoryLimitFraction is the fraction of the process's memory limit that is set as
 	// the memory limit of the Go runtime, near which the garbage collector runs more
@@ -64,12 +56,15 @@
 	engine    *engine.Engine
 	stopping  atomic.Bool
 	lastReady atomic.Bool // result of the last readiness probe
+	// gracePeriod is the time from SIGTERM to SIGKILL, in nanoseconds.
+	gracePeriod atomic.Int64
 }
 
 // New returns a host, which starts nothing before Run. droppedLines returns the number of
 // lines that the logger has dropped.
 func New(s *platform.Settings, log *zap.Logger, droppedLines func() int64) *Host {
 	h := &Host{settings: s, registry: gometrics.NewRegistry(), log: logging.WithPart(log, "host")}
+	h.gracePeriod.Store(int64(s.ShutdownGracePeriod))
 	metrics.RegisterCounter(h.registry, "log.dropped", droppedLines)
 	h.registerMetrics()
 	h.engine = engine.New(engine.Options{
@@ -124,6 +119,7 @@
 // resource limits need a restart. Open connections are not closed.
 func (h *Host) Reload(s *platform.Settings) {
 	h.engine.SetBounds(bounds(s), s.MaxRevocationDelay)
+	h.gracePeriod.Store(int64(s.ShutdownGracePeriod))
 	needsRestart := s.Host != h.settings.Host || s.FrontAddress != h.settings.FrontAddress || s.ReadyAddress != h.settings.ReadyAddress || s.StoreAddress != h.settings.StoreAddress
 	h.log.Info("settings reloaded", zap.Bool("addresses_need_restart", needsRestart))
 }
@@ -137,29 +133,23 @@
 }
 
 // Run serves until stop is closed or the context ends, then gives up ownership, drains
-// the open requests and returns.
+// the open requests and returns within the grace period.
 func (h *Host) Run(ctx context.Context, stop <-chan struct{}) error {
-	frontListener, err := listen(h.settings.FrontAddress.String())
-	if err != nil {
-		return err
-	}
-	readyListener, err := listen(h.settings.ReadyAddress.String())
-	if err != nil {
-		return err
-	}
-	metricsListener, err := listen(net.JoinHostPort(h.settings.FrontAddress.Addr().String(), strconv.Itoa(metricsPort)))
+	metricsAddress := net.JoinHostPort(h.settings.FrontAddress.Addr().String(), strconv.Itoa(metricsPort))
+	listeners, err := listenAll(h.settings.FrontAddress.String(), h.settings.ReadyAddress.String(), metricsAddress)
 	if err != nil {
 		return err
 	}
+	frontListener, readyListener, metricsListener := listeners[0], listeners[1], listeners[2]
 	h.log.Info("start", zap.String("host", h.settings.Host), zap.String("zone", h.settings.Zone),
-		zap.Stringer("front", h.settings.FrontAddress), zap.String("metrics", metricsListener.Addr().String()))
+		zap.Stringer("front", h.settings.FrontAddress), zap.String("metrics", metricsAddress))
 	group, ctx := errgroup.WithContext(ctx)
 	followerCtx, stopFollowers := context.WithCancel(ctx)
 	defer stopFollowers()
-	frontServer := newServer(platform.NewFrontHandler(h.engine.Intake))
-	readyServer := newServer(http.HandlerFunc(h.serveReady))
-	metricsServer := newServer(metrics.Handler(h.registry))
-	serve(group, frontServer, frontListener)
+	frontServer := drain.NewServer(h.newServer(platform.NewFrontHandler(h.engine.Intake, h.log)), h.log)
+	readyServer := h.newServer(http.HandlerFunc(h.serveReady))
+	metricsServer := h.newServer(metrics.Handler(h.registry))
+	group.Go(func() error { return frontServer.Serve(frontListener) })
 	serve(group, readyServer, readyListener)
 	serve(group, metricsServer, metricsListener)
 	group.Go(func() error { return h.engine.RunFollowers(followerCtx) })
@@ -167,32 +157,51 @@
 	defer stopScheduler()
 	schedulerStopped := make(chan struct{})
 	group.Go(func() error { defer close(schedulerStopped); return h.engine.RunScheduler(schedulerCtx) })
-	group.Go(func() error {
-		select {
-		case <-stop:
-		case <-ctx.Done():
-		}
-		stopScheduler()
-		<-schedulerStopped
-		h.drain(frontServer, readyServer, metricsServer)
-		stopFollowers()
-		return nil
-	})
-	err = group.Wait()
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	deadlines := h.beginStop()
+	stopScheduler() // takes its time while callers are served
+	h.drain(frontServer, deadlines)
+	waitUntil(schedulerStopped, deadlines.End)
+	_, _ = readyServer.Close(), metricsServer.Close() // open probes and scrapes may be aborted
+	stopFollowers()
+	err = h.waitForGroup(group, deadlines.End)
 	h.log.Info("stop", zap.Error(err))
 	return err
 }
 
-func listen(address string) (net.Listener, error) {
+// listenAll listens on all addresses, or on none of them if one fails.
+func listenAll(addresses ...string) ([]*net.TCPListener, error) {
+	var listeners []*net.TCPListener
+	for _, address := range addresses {
+		l, err := listen(address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func listen(address string) (*net.TCPListener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return l, nil
+	return l.(*net.TCPListener), nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+// newServer returns a server whose errors go to the host's log, which never blocks.
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(h.log),
+	}
 }
 
 func serve(group *errgroup.Group, s *http.Server, l net.Listener) {
@@ -220,21 +229,3 @@
 	}
 	rw.WriteHeader(http.StatusOK)
 }
-
-// drain reports the host as not ready, waits until the load balancer has noticed, and
-// closes the servers once the open requests have ended or the grace period is nearly over.
-func (h *Host) drain(frontServer *http.Server, others ...*http.Server) {
-	h.stopping.Store(true)
-	h.log.Info("drain", zap.Duration("grace", h.settings.ShutdownGracePeriod))
-	delay := min(deregistrationDelay, h.settings.ShutdownGracePeriod/2)
-	frontServer.SetKeepAlivesEnabled(false)
-	time.Sleep(delay)
-	ctx, cancel := context.WithTimeout(context.Background(), max(h.settings.ShutdownGracePeriod-delay-shutdownMargin, shutdownMargin))
-	defer cancel()
-	if err := frontServer.Shutdown(ctx); err != nil {
-		h.log.Warn("requests were still open at the end of the drain", zap.Error(err))
-	}
-	for _, s := range others {
-		_ = s.Close() // open probes and scrapes may be aborted
-	}
-}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -40,6 +40,13 @@
 	readyPort = 8523
 )
 
+// Clusters of several test processes use different networks, the second bytes of the hosts'
+// addresses.
+const (
+	firstNetwork = 10
+	networkCount = 200
+)
+
 // cluster is a deployment of daemon processes on loopback addresses, with a simulated
 // platform.
 type cluster struct {
@@ -56,6 +63,7 @@
 type process struct {
 	name, ip, settingsPath string
 	proxy                  *faultproxy.Proxy
+	logBlocked             bool // nobody reads the daemon's output
 	mu                     sync.Mutex
 	command                *exec.Cmd
 	done                   chan struct{}
@@ -121,7 +129,7 @@
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(proxy.Close)
-	p := &process{name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.7.%d.%d", subnet, i+1), proxy: proxy}
+	p := &process{name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networkCount, subnet, i+1), proxy: proxy}
 	p.settingsPath = filepath.Join(c.dir, p.name+".conf")
 	text := platformtest.SettingsText(p.name, fmt.Sprintf("zone-%d", i), fmt.Sprintf("%s:%d", p.ip, frontPort),
 		fmt.Sprintf("%s:%d", p.ip, readyPort), proxy.Address())
@@ -153,7 +161,7 @@
 // startLocked is start for callers that hold the lock of the process. The log goes to a
 // file beside the settings.
 func (c *cluster) startLocked(p *process) {
-	log, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := c.openLog(p)
 	if err != nil {
 		c.t.Error(err)
 		return
@@ -174,6 +182,18 @@
 	p.command, p.done = command, done
 }
 
+// openLog opens the file for the output of the host's daemon, or a pipe that nobody reads.
+func (c *cluster) openLog(p *process) (*os.File, error) {
+	if !p.logBlocked {
+		return os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	}
+	reader, writer, err := os.Pipe()
+	if err == nil {
+		c.t.Cleanup(func() { _ = reader.Close() })
+	}
+	return writer, err
+}
+
 // signal sends a signal to the process, if it is running, and returns a channel that is
 // closed when the process has ended.
 func (p *process) signal(s syscall.Signal) chan struct{} {
