Engine: show that a repeated takeover loses statuses

Cause: a takeover that fails after the owner's heartbeat has begun is repeated in the same epoch, and its appends to the topic of statuses begin with sequence number 0 again. The store takes those that are among the last five for repetitions and drops them. A status that was dropped is not published again: a job that has completed is shown as running until the next takeover.

It needs a failed read at a moment of 0.2 to 0.8 s into a takeover, so a reset or a lost answer at real sockets suffices.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -55,6 +55,8 @@
 	machines        *standin.Machines
 	cancel          context.CancelFunc
 	ctx             context.Context
+	// wrapStore, if set, wraps the store's client of each host that is added.
+	wrapStore func(host string, s store.Store) store.Store
 	// clockMu guards busyTime and failNext. It is not mu, because close holds mu while it
 	// waits for the hosts, which read the clock.
 	clockMu sync.Mutex
@@ -172,8 +174,12 @@
 
 func (c *cluster) addHost(name string) *testHost {
 	ctx, cancel := context.WithCancel(c.ctx)
+	client := c.store.Client(name)
+	if c.wrapStore != nil {
+		client = c.wrapStore(name, client)
+	}
 	e := engine.New(engine.Options{
-		Host: name, CPUShare: c.cpuShares[name], Store: c.store.Client(name), Workers: c.fleet.Client(name), Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
+		Host: name, CPUShare: c.cpuShares[name], Store: client, Workers: c.fleet.Client(name), Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
 		OperatorTopic: operatorTopic, WorkerTopic: standin.TopicWorkers,
 		DecodeOperator: decodeOperator, DecodeWorker: standin.DecodeWorker,
 		Bounds: scheduler.Bounds{
