Scheduler: take no second attempt of a takeover in the same epoch

Cause: a takeover whose reads failed was repeated in its epoch, in which the heartbeat had already used sequence numbers, so the store dropped the first statuses of the second attempt.

Change: each read of a takeover is repeated until it succeeds or the 3 s of the takeover are over. After that the epoch counts as used: the host leaves the group and joins again, which gives a new epoch.

Conclusion: a job that has completed is not shown as running any more because of this. A takeover also needs fewer attempts when answers of the store are lost.

--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -108,7 +108,7 @@
 			s.Elector.MarkFenced(epoch)
 			continue
 		}
-		if errors.Is(err, store.ErrFenced) || errors.Is(err, workers.ErrFenced) {
+		if errors.Is(err, store.ErrFenced) || errors.Is(err, workers.ErrFenced) || errors.Is(err, errEpochUsed) {
 			s.Elector.MarkFenced(epoch)
 			continue
 		}
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -32,20 +32,21 @@
 	t.spawn(t.runPublisher)
 	var list, runs []store.Record
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return t.Statuses.Sync(ctx) })
-	group.Go(func() error { return t.Submissions.Sync(ctx) })
-	group.Go(func() error {
-		var err error
+	read := func(what string, f func() error) {
+		group.Go(func() error { return t.repeatRead(ctx, what, f) })
+	}
+	read("statuses", func() error { return t.Statuses.Sync(ctx) })
+	read("submissions", func() error { return t.Submissions.Sync(ctx) })
+	read("states", func() (err error) {
 		runs, _, err = t.Store.Newest(ctx, replica.TopicRuns)
 		return err
 	})
-	group.Go(func() error {
-		var err error
+	read("workers", func() (err error) {
 		list, _, err = t.Store.Newest(ctx, t.WorkerTopic)
 		return err
 	})
 	if err := group.Wait(); err != nil {
-		return err
+		return trace.Wrap(errEpochUsed, err.Error())
 	}
 	// The former owner may have joined the group just before it lost ownership.
 	t.formerLeasesEnd = t.Now() + t.Elector.TTL + leaseRenewalGrace + t.maxLeaseDuration()
@@ -65,6 +66,30 @@
 	return nil
 }
 
+// errEpochUsed is returned by a takeover that failed after it had written. The next one needs
+// a new epoch, because the store takes an append for a repetition if its sequence number was
+// used in the same epoch.
+var errEpochUsed = errors.New("the takeover failed after it had used its epoch")
+
+// takeOverRetryDelay is the delay before a failed read of a takeover is repeated.
+const takeOverRetryDelay = 50 * time.Millisecond
+
+// repeatRead calls f until it succeeds or the context ends.
+func (t *term) repeatRead(ctx context.Context, what string, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		t.log.Warn("a read of the takeover failed", zap.String("what", what), zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(takeOverRetryDelay):
+		}
+	}
+}
+
 // fenceFormerOwners prevents former owners from writing to the scheduler's topics, and
 // writes this owner's first heartbeat: hosts would take a new owner for silent if they had
 // to wait for it until the takeover is complete.
