Intake: answer lookups in time while the store is silent

Cause: concurrent lookups of unknown jobs waited one after the other for reads that timed out, without a time limit of their own.

Change: a read that fails answers all calls that were waiting when it began.

Conclusion: a call to a host that runs is answered within the caller's time, whatever the store does.

--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -156,10 +156,17 @@
 	return queue, organisation.Name, nil
 }
 
+// withDeadline returns a context that ends when the call must be answered.
+func (c Call) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
+}
+
 // Submit accepts a job. The caller sets the job's id, steps, spec and times; the other
 // fields are set from the queue. A job that was already accepted is not changed.
 func (s *Service) Submit(ctx context.Context, c Call, job work.Job) Answer {
 	start := time.Now()
+	ctx, cancel := c.withDeadline(ctx)
+	defer cancel()
 	a := s.submit(ctx, c, &job)
 	s.updateMetrics("submission", a, start)
 	s.log("submission", c, job.ID, a)
@@ -185,12 +192,14 @@
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
 	job.AcceptedMS = s.WallClock().UnixMilli()
-	return s.write(ctx, c, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
+	return s.write(ctx, store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()})
 }
 
 // Cancel cancels a job. It succeeds if the job has already ended.
 func (s *Service) Cancel(ctx context.Context, c Call, id string) Answer {
 	start := time.Now()
+	ctx, cancel := c.withDeadline(ctx)
+	defer cancel()
 	a := s.cancel(ctx, c, id)
 	s.updateMetrics("cancellation", a, start)
 	s.log("cancellation", c, id, a)
@@ -210,7 +219,7 @@
 	}
 	// The cancellation of an unknown job is also recorded, because another host may be
 	// executing its submission.
-	a := s.write(ctx, c, store.Record{Key: replica.CancelKey(id), Value: replica.CancelValue(s.WallClock())})
+	a := s.write(ctx, store.Record{Key: replica.CancelKey(id), Value: replica.CancelValue(s.WallClock())})
 	if a.Outcome == OK && (!known || e.Job == nil) {
 		return Answer{Outcome: NoJob, Reason: "no such job"}
 	}
@@ -223,6 +232,8 @@
 		s.log("status", c, id, *refused)
 		return *refused
 	}
+	ctx, cancel := c.withDeadline(ctx)
+	defer cancel()
 	e, known, refused := s.lookup(ctx, id)
 	if refused != nil {
 		s.log("status", c, id, *refused)
@@ -286,16 +297,14 @@
 	return Answer{Outcome: OK, Waiting: s.Jobs.CountWaiting(queue.ID())}
 }
 
-// write appends a record to TopicJobs and retries within the caller's timeout.
-func (s *Service) write(ctx context.Context, c Call, r store.Record) Answer {
+// write appends a record to TopicJobs and retries until the context ends.
+func (s *Service) write(ctx context.Context, r store.Record) Answer {
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	default:
 		return Answer{Outcome: TryLater, Reason: "too many calls wait for the store", RetryAfter: retryAfter}
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
-	defer cancel()
 	maybeAppended := false // whether an earlier attempt may have succeeded
 	for attempt, delay := 1, initialRetryDelay; ; attempt, delay = attempt+1, delay*2 {
 		attemptCtx, cancelAttempt := context.WithTimeout(ctx, store.AttemptTimeout(attempt, 0))
--- a/internal/engine/replica/follower.go
+++ b/internal/engine/replica/follower.go
@@ -61,6 +61,10 @@
 	Options
 	// syncing is a semaphore that admits one reader in SharedSync.
 	syncing chan struct{}
+	// sharedErr is why the last read in SharedSync failed, or nil if it did not, and
+	// sharedErrAt when that read began. Both are guarded by syncing.
+	sharedErr   error
+	sharedErrAt time.Duration
 	// loading is a semaphore that admits one reader in loadNewest.
 	loading    chan struct{}
 	mu         sync.Mutex
@@ -181,8 +185,8 @@
 	}
 }
 
-// SharedSync is like Sync, but concurrent calls share a read, so a call may wait for the
-// read of another one.
+// SharedSync is like Sync, but concurrent calls share a read and its failure, so a call may
+// wait for the read of another one.
 func (f *Follower) SharedSync(ctx context.Context) error {
 	since := f.Now()
 	select {
@@ -191,7 +195,15 @@
 		return ctx.Err()
 	}
 	defer func() { <-f.syncing }()
-	return f.syncSince(ctx, since)
+	if f.sharedErr != nil && f.sharedErrAt >= since {
+		return f.sharedErr
+	}
+	began := f.Now()
+	err := f.syncSince(ctx, since)
+	if err == nil || ctx.Err() == nil {
+		f.sharedErr, f.sharedErrAt = err, began
+	}
+	return err
 }
 
 // Sync reads until the copy contains all records that were acknowledged before the call.
