--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -14,16 +14,17 @@
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
 
-// failingReads is a client of the store whose first read of the states of jobs fails after a
-// delay. Until then each fenced append takes appendTime.
+// failingReads is a client of the store whose first read of a topic's newest records fails
+// after a delay. Until then each fenced append takes appendTime.
 type failingReads struct {
 	store.Store
+	topic             string
 	delay, appendTime time.Duration
 	failed            atomic.Bool
 }
 
 func (f *failingReads) Newest(ctx context.Context, topic string) ([]store.Record, int64, error) {
-	if topic == replica.TopicRuns && !f.failed.Load() {
+	if topic == f.topic && !f.failed.Load() {
 		time.Sleep(f.delay)
 		f.failed.Store(true)
 		return nil, 0, errors.New("connection reset")
@@ -43,8 +44,8 @@
 // takeover that failed has used their sequence numbers.
 func TestRepeatedTakeoverPublishesStatuses(t *testing.T) {
 	for name, client := range map[string]*failingReads{
-		"one read fails":                        {delay: 700 * time.Millisecond},
-		"reads time out while appends are slow": {delay: 3200 * time.Millisecond, appendTime: 900 * time.Millisecond},
+		"one read fails":                        {topic: replica.TopicRuns, delay: 700 * time.Millisecond},
+		"reads time out while appends are slow": {topic: replica.TopicRuns, delay: 3200 * time.Millisecond, appendTime: 900 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { testFailingTakeover(t, client) })
