Intake: return no status before the statuses have been read

Cause: on a host that has read no statuses since its start every job counted as queued.

Change: such a host reads the statuses before it answers, within the caller's time, and asks the caller to try later if it cannot. Cancelled jobs are covered as well: a job that had completed before its cancellation was returned as cancelled.

Conclusion: a host that has started returns a state only if it has read one.

--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -244,8 +244,11 @@
 		s.log("status", c, id, a)
 		return a
 	}
-	if !e.Cancelled && !e.Status.Ended() {
-		e = s.refresh(ctx, id, e)
+	if !e.Status.Ended() {
+		if e, refused = s.refresh(ctx, id, e); refused != nil {
+			s.log("status", c, id, *refused)
+			return *refused
+		}
 	}
 	status := e.Status
 	if e.Cancelled && !status.Ended() {
@@ -255,22 +258,30 @@
 }
 
 // refresh returns a newer entry of a job that has not ended according to the copy. It
-// returns e if the copy is fresh or newer statuses cannot be read.
-func (s *Service) refresh(ctx context.Context, id string, e replica.JobEntry) replica.JobEntry {
+// returns e if the copy is fresh or newer statuses cannot be read. A call is refused if the
+// host has not read any statuses since its start.
+func (s *Service) refresh(ctx context.Context, id string, e replica.JobEntry) (replica.JobEntry, *Answer) {
 	age, ok := s.Statuses.Staleness()
-	if ok && age < maxStatusStaleness {
-		return e
+	if ok && (e.Cancelled || age < maxStatusStaleness) {
+		return e, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
-	if err := s.Statuses.SharedSync(ctx); err != nil {
+	if ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, refreshTimeout)
+		defer cancel()
+	}
+	err := s.Statuses.SharedSync(ctx)
+	if err != nil && !ok {
+		return e, &Answer{Outcome: TryLater, Reason: "no statuses have been read yet", RetryAfter: retryAfter}
+	}
+	if err != nil {
 		s.Logger.Debug("newer statuses cannot be read; answering from the copy", zap.String("job", id), zap.Duration("age", age), zap.Error(err))
-		return e
+		return e, nil
 	}
 	if newer, known := s.Jobs.Get(id); known && newer.Job != nil {
-		return newer
+		return newer, nil
 	}
-	return e
+	return e, nil
 }
 
 // lookup returns the entry of a job. If the copy has no such job, lookup reads newer
