Soak: count every call without an answer and every job that starves

Cause: the soak submitted jobs of one step, retried over Go's client and waited for their end, so it could not see a call without an answer, a wrong state or a job that waits.

Change: callers with raw connections that are kept until they end count each call; a call without an answer at a host without a fault of its own, a refusal with 400, 401 or 404, a 410 for an accepted job, a final state without cause, a refused job that runs, and a daemon that ends by itself are violations. 14 s after the traffic each accepted job must be known, and none may have nothing running for 3 s while there is room for it twice over and less than half is in use. Jobs have up to four steps, gangs, racks and tasks that last; callers cancel and repeat. New faults: slow processes, cut zones, late and partly refusing store, its rates, history gone, manifests and keys, zones out, workers that leave, fail, hang or are cut off, several at once near the end, and a final one.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,42 +4,60 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/daisyfold/daisyfold/internal/engine/work"
-	"github.com/daisyfold/daisyfold/internal/faultproxy"
-	"github.com/daisyfold/daisyfold/internal/standin"
-	"github.com/daisyfold/daisyfold/platform/platformtest"
 )
 
 var (
 	seedCount    = flag.Int("soak.seeds", 1, "number of seeds to run")
 	firstSeed    = flag.Uint64("soak.first", 1, "the first seed")
 	loadDuration = flag.Duration("soak.length", 10*time.Second, "how long jobs are submitted and faults injected")
+	hostCount    = flag.Int("soak.hosts", 4, "number of hosts")
+	workerCount  = flag.Int("soak.workers", 12, "number of workers")
+	callerCount  = flag.Int("soak.callers", 16, "number of callers")
+	callInterval = flag.Duration("soak.interval", 200*time.Millisecond, "mean time between two calls of a caller")
+	faultGap     = flag.Duration("soak.gap", 700*time.Millisecond, "mean time between two faults")
+	raceDetector = flag.Bool("soak.race", false, "build the daemon with the race detector")
+	unreadLogs   = flag.Bool("soak.unread", false, "write the daemons' logs to pipes that nobody reads")
+	keepLogs     = flag.String("soak.logs", "", "directory to which the logs of all runs are copied")
 )
 
 // regressions are seeds that have failed before, each with the cause of the failure.
 var regressions = []uint64{}
 
-// completionTimeout bounds the time from the last fault until all accepted jobs are
-// completed. It allows for the expiry of a lost worker's lease twice and for the longest
-// job.
-const completionTimeout = 40 * time.Second
+const (
+	electionTime = 3 * time.Second
+	// finishTime is how long after the end of the traffic every job must be known, and every
+	// task whose turn has come must run if there is room for it.
+	finishTime = 14 * time.Second
+	// maxStarvation is how long a job may have nothing running then.
+	maxStarvation = 3 * time.Second
+	// completionTimeout bounds the time from finishTime until all jobs have ended.
+	completionTimeout = time.Minute
+)
 
-// TestSoak checks that every accepted job completes and is reported as completed, and that
-// the workers observe no violation.
+// TestSoak checks the answers to all calls, that every accepted job is executed and reported
+// as callers expect, and that the workers observe no violation.
 func TestSoak(t *testing.T) {
 	daemonPath := filepath.Join(t.TempDir(), "daisyfoldd")
-	if out, err := exec.Command("go", "build", "-o", daemonPath, "../../cmd/daisyfoldd").CombinedOutput(); err != nil {
+	args := []string{"build", "-o", daemonPath}
+	if *raceDetector {
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, "../../cmd/daisyfoldd")...).CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	all := regressions
@@ -54,135 +72,206 @@
 // soakRun is the state of the test for one seed.
 type soakRun struct {
 	*cluster
-	rng      *rand.Rand
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	jobPaths []string // paths of accepted jobs
+	wg              sync.WaitGroup
+	jobCount        atomic.Int64
+	manifestVersion int64
+	storeState      process // faults of everything but the hosts' processes
+	mu              sync.Mutex
+	submissions     []*submission
+	zonesOut        map[string]bool
+	answers         map[string]int // by method and status
+	unanswered      map[string]int // calls without an answer, by the fault of the host
+	violations      []string
+	began           time.Time
+}
+
+func (s *soakRun) addViolation(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violate(format, args...)
+}
+
+// maxViolations limits the violations of the callers that are reported.
+const maxViolations = 40
+
+// violate is addViolation for callers that hold the lock.
+func (s *soakRun) violate(format string, args ...any) {
+	if len(s.violations) < maxViolations {
+		s.violations = append(s.violations, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	}
 }
 
 func runSoak(t *testing.T, daemonPath string, seed uint64) {
-	s := &soakRun{cluster: newCluster(t, daemonPath, seed), rng: rand.New(rand.NewPCG(seed, 4))}
-	time.Sleep(3 * time.Second) // the hosts elect an owner
-	end := time.Now().Add(*loadDuration)
-	for n := 1; time.Now().Before(end); n++ {
-		s.wg.Go(s.randomJob(n))
-		if s.rng.IntN(3) == 0 {
-			s.randomFault()
+	s := &soakRun{cluster: newCluster(t, daemonPath, seed), manifestVersion: 1, zonesOut: map[string]bool{}, answers: map[string]int{}, unanswered: map[string]int{}}
+	s.storeState.name = "store"
+	time.Sleep(electionTime)
+	rng := rand.New(rand.NewPCG(seed, 4))
+	s.began = time.Now()
+	end := s.began.Add(*loadDuration)
+	for i := range *callerCount {
+		callerRNG := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		s.wg.Go(func() { s.runCaller(callerRNG, end) })
+	}
+	for {
+		time.Sleep(time.Duration((0.2 + rng.ExpFloat64()*0.8) * float64(*faultGap)))
+		if time.Until(end) < 2*time.Second {
+			break
 		}
-		time.Sleep(time.Duration(100+s.rng.IntN(400)) * time.Millisecond)
+		s.logFault(s.randomFault(rng))
+	}
+	for range rng.IntN(4) {
+		s.logFault(s.randomFault(rng))
 	}
+	s.logFault(s.finalFault(rng))
+	time.Sleep(time.Until(end))
+	trafficEnd := time.Now()
 	s.wg.Wait()
-	s.clearFaults()
-	s.awaitCompletion()
-	for _, v := range s.fleet.Ledger().Violations() {
+	s.awaitEnds(trafficEnd)
+	for _, v := range append(s.violations, s.fleet.Ledger().Violations()...) {
 		t.Error(v)
 	}
+	t.Logf("%d jobs, %d runs done, %d calls refused by the rate limits, answers %v, without an answer %v, %s", len(s.submissions), s.fleet.Ledger().Count("done"), s.limits.Refused(), s.answers, s.unanswered, s.resources())
 }
 
-// randomJob generates a random job and returns a function that submits it to one host
-// after the other, beginning with a random one, until it is accepted.
-func (s *soakRun) randomJob(n int) func() {
-	queue := []string{"urgent", "normal", "batch"}[s.rng.IntN(3)]
-	step := work.Step{
-		Tasks: 1 + s.rng.IntN(6), Demand: work.Resources{CPU: 10_000, MemoryMB: 1000, Accelerators: []int{1, 2, 8}[s.rng.IntN(3)]},
-		EstimateMS: 1000, Gang: s.rng.IntN(2) == 0, SavesProgress: s.rng.IntN(2) == 0,
-	}
-	job := &work.Job{ID: fmt.Sprintf("%016x", n), Spec: fmt.Sprint("spec ", n), MaxAttempts: 3, Steps: []work.Step{step}}
-	behaviour := standin.Behaviour{Work: time.Duration(300+s.rng.IntN(3000)) * time.Millisecond}
-	s.fleet.RegisterJob(job, func(int, int) standin.Behaviour { return behaviour })
-	body := platformtest.EncodeSubmission(job)
-	path := "/" + queue + "/" + job.ID
-	firstHost := s.rng.IntN(hostCount)
-	return func() {
-		for attempt := range 60 {
-			status, _ := s.hosts[(firstHost+attempt)%hostCount].call(http.MethodPost, path, body)
-			if status == http.StatusOK {
-				s.mu.Lock()
-				s.jobPaths = append(s.jobPaths, path)
-				s.mu.Unlock()
-				return
+func (s *soakRun) logFault(name string) {
+	s.t.Logf("%s %.1f s: %s", time.Now().UTC().Format("15:04:05.000"), time.Since(s.began).Seconds(), name)
+}
+
+// finalFault starts the fault near the end of the traffic and returns its name.
+func (s *soakRun) finalFault(rng *rand.Rand) string {
+	switch rng.IntN(5) {
+	case 0, 1:
+		s.stopAll(s.hosts, syscall.SIGKILL, 1400*time.Millisecond)
+		return "final: all hosts killed"
+	case 2:
+		s.stopAll([]*process{s.owner()}, syscall.SIGKILL, 1400*time.Millisecond)
+		return "final: owner killed"
+	case 3:
+		s.stopAll(s.zoneHosts(rng), syscall.SIGKILL, 3*time.Second)
+		return "final: zone killed"
+	}
+	return "final: " + s.randomFault(rng)
+}
+
+// awaitEnds checks from finishTime after the end of the traffic that every accepted job is
+// known and none starves, until all have ended. Jobs that last are cancelled then.
+func (s *soakRun) awaitEnds(trafficEnd time.Time) {
+	s.t.Logf("%s end of the traffic and faults", time.Now().UTC().Format("15:04:05.000"))
+	time.Sleep(time.Until(trafficEnd.Add(finishTime)))
+	c := newClient()
+	defer c.close()
+	s.checkRefused()
+	pending := s.acceptedSubmissions()
+	starvedSince, deadline, round := map[string]time.Time{}, time.Now().Add(completionTimeout), 0
+	for ; len(pending) > 0 && time.Now().Before(deadline); round++ {
+		s.checkStarvation(pending, starvedSince)
+		var unfinished []*submission
+		for i, j := range pending {
+			h := s.hosts[(i+round)%len(s.hosts)]
+			a := s.call(c, h, http.MethodGet, j.path, nil)
+			s.handle(h, a, j, http.MethodGet)
+			if a.status != http.StatusOK && round == 0 {
+				s.addViolation("%s returned status %d for the accepted job %s at the end: %v %s", h.name, a.status, j.path, a.err, a.body)
+			}
+			if strings.Contains(a.body, "running") || strings.Contains(a.body, "queued") || a.status != http.StatusOK {
+				unfinished = append(unfinished, j)
 			}
-			time.Sleep(300 * time.Millisecond)
 		}
-		s.t.Errorf("job %s was not accepted", path)
+		if round == 20 {
+			s.cancelLongRunning(c, unfinished)
+		}
+		pending = unfinished
+		time.Sleep(250 * time.Millisecond)
+	}
+	for _, j := range pending {
+		s.addViolation("job %s has not ended (all tasks done: %t, runs: %d, accepted %s)", j.path, s.fleet.Ledger().AllDone(j.job), s.fleet.Ledger().RunningJobs()[j.job.ID], j.acceptedAt.UTC().Format("15:04:05.000"))
 	}
 }
 
-// randomFault starts a random fault, which ends by itself.
-func (s *soakRun) randomFault() {
-	host := s.hosts[s.rng.IntN(hostCount)]
-	worker := s.workers[s.rng.IntN(workerCount)]
-	duration := 500*time.Millisecond + time.Duration(s.rng.IntN(3500))*time.Millisecond
-	atEnd := func(f func()) {
-		s.wg.Go(func() { time.Sleep(duration); f() })
+// acceptedSubmissions returns the jobs that a caller knows to be accepted.
+func (s *soakRun) acceptedSubmissions() []*submission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var accepted []*submission
+	for _, j := range s.submissions {
+		if j.isAccepted() {
+			accepted = append(accepted, j)
+		}
 	}
-	restart := func(signal syscall.Signal) {
-		done := host.signal(signal)
-		s.wg.Go(func() { s.restart(host, done) })
+	return accepted
+}
+
+// checkRefused checks that no job runs that was refused by every host that was asked.
+func (s *soakRun) checkRefused() {
+	running := s.fleet.Ledger().RunningJobs()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.submissions {
+		if !j.isAccepted() && !j.maybeAccepted && (running[j.job.ID] > 0 || s.fleet.Ledger().AllDone(j.job)) {
+			s.violate("job %s was refused by all hosts, but it runs", j.path)
+		}
+		if !j.cancelledAt.IsZero() && running[j.job.ID] > 0 {
+			s.violate("job %s runs %s after its cancellation", j.path, time.Since(j.cancelledAt))
+		}
 	}
-	switch s.rng.IntN(13) {
-	case 0, 1:
-		restart(syscall.SIGKILL)
-	case 2:
-		restart(syscall.SIGTERM)
-	case 3:
-		host.signal(syscall.SIGSTOP)
-		atEnd(func() { host.signal(syscall.SIGCONT) })
-	case 4:
-		host.signal(syscall.SIGHUP)
-	case 5:
-		host.proxy.Cut()
-		atEnd(host.proxy.Restore)
-	case 6:
-		host.proxy.Drop([]faultproxy.Direction{faultproxy.ToServer, faultproxy.ToClient}[s.rng.IntN(2)])
-		atEnd(host.proxy.Restore)
-	case 7:
-		host.proxy.Freeze()
-	case 8:
-		host.proxy.Reset()
-	case 9:
-		s.store.SetFaults(standin.StoreFaults{LostRate: 0.3, ExtraLatency: 50 * time.Millisecond})
-		atEnd(func() { s.store.SetFaults(standin.StoreFaults{}) })
-	case 10:
-		s.store.SetFaults(standin.StoreFaults{Refuse: true})
-		atEnd(func() { s.store.SetFaults(standin.StoreFaults{}) })
-	case 11:
-		worker.Restart()
-	case 12:
-		worker.Crash()
-		atEnd(worker.Restart)
+}
+
+// checkStarvation reports jobs that have nothing running for maxStarvation. since holds the
+// times since when they have nothing running.
+func (s *soakRun) checkStarvation(pending []*submission, since map[string]time.Time) {
+	var ids []string
+	paths := map[string]string{}
+	for _, j := range pending {
+		if !j.isCancelled() {
+			ids = append(ids, j.job.ID)
+			paths[j.job.ID] = j.path
+		}
+	}
+	s.mu.Lock()
+	zonesOut := s.zonesOut
+	s.mu.Unlock()
+	starved := map[string]bool{}
+	for _, name := range s.fleet.Starved(ids, zonesOut) {
+		starved[name] = true
+		if since[name].IsZero() {
+			since[name] = time.Now()
+		}
+		if time.Since(since[name]) > maxStarvation {
+			id, _, _ := strings.Cut(name, ".")
+			s.addViolation("%s of %s has nothing running for %s, with room for it", name, paths[id], maxStarvation)
+			since[name] = time.Now().Add(time.Hour)
+		}
+	}
+	for name := range since {
+		if !starved[name] {
+			delete(since, name)
+		}
 	}
 }
 
-// clearFaults ends all faults of the store and the hosts.
-func (s *soakRun) clearFaults() {
-	s.store.SetFaults(standin.StoreFaults{})
-	for _, h := range s.hosts {
-		h.proxy.Restore()
-		h.signal(syscall.SIGCONT)
+func (s *soakRun) cancelLongRunning(c *client, jobs []*submission) {
+	for _, j := range jobs {
+		if j.job.Steps[0].LongRunning {
+			s.cancel(c, s.hosts[0], j)
+		}
 	}
 }
 
-// awaitCompletion waits until each accepted job is reported as completed.
-func (s *soakRun) awaitCompletion() {
-	deadline := time.Now().Add(completionTimeout)
-	pending := s.jobPaths
-	for len(pending) > 0 && time.Now().Before(deadline) {
-		var unfinished []string
-		for i, path := range pending {
-			status, body := s.hosts[i%hostCount].call(http.MethodGet, path, nil)
-			if status == http.StatusGone {
-				s.t.Errorf("%s returns status 410 for the accepted job %s", s.hosts[i%hostCount].name, path)
-			}
-			if string(body) != `{"state":"completed"}` {
-				unfinished = append(unfinished, path)
+// resources describes the largest peak of memory and the largest number of open
+// descriptors of the hosts' processes.
+func (s *soakRun) resources() string {
+	peakKB, descriptors := 0, 0
+	for _, p := range s.hosts {
+		dir := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid))
+		status, _ := os.ReadFile(filepath.Join(dir, "status")) // empty if the process has ended
+		for line := range strings.Lines(string(status)) {
+			if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+				kb, _ := strconv.Atoi(fields[1])
+				peakKB = cmp.Or(max(peakKB, kb), kb)
 			}
 		}
-		pending = unfinished
-		time.Sleep(200 * time.Millisecond)
-	}
-	for _, path := range pending {
-		s.t.Errorf("job %s has not been completed within %s", path, completionTimeout)
+		open, _ := os.ReadDir(filepath.Join(dir, "fd"))
+		descriptors = max(descriptors, len(open))
 	}
-	s.t.Logf("%d jobs accepted, %d runs done", len(s.jobPaths), s.fleet.Ledger().Count("done"))
+	return fmt.Sprintf("at most %d MB and %d descriptors", peakKB>>10, descriptors)
 }
