Engine: show that a gang waits for a rack without end

Cause: a gang that asks for one rack and would fit into an empty one is only placed in one rack. There is no limit to that wait, although running on several racks only makes it slower. While each rack holds some other task the gang has nothing running, however much is free elsewhere.

Conclusion: an accepted job that never starts, reachable on the site: most of its gangs ask for one rack, and its racks are shared with small tasks.

--- /dev/null
+++ b/internal/engine/starvation_test.go
@@ -0,0 +1,31 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisyfold/daisyfold/internal/engine/work"
+	"github.com/daisyfold/daisyfold/internal/standin"
+)
+
+// TestGangDoesNotWaitForRackForever guards against a gang that asks for one rack and is never
+// started because each rack holds another task, although most workers are free.
+func TestGangDoesNotWaitForRackForever(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 1, workers: 18})
+		defer c.close()
+		for rack := range 3 {
+			lasting := newJob(1+rack, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 1000, LongRunning: true, PreferredRack: fmt.Sprintf("rack-%d", rack)})
+			c.submit("normal", lasting, standin.Behaviour{Work: time.Second})
+		}
+		time.Sleep(time.Second)
+		gang := newJob(9, work.Step{Tasks: 6, Demand: largeTask, EstimateMS: 1000, Gang: true, SameRack: true})
+		c.submit("normal", gang, standin.Behaviour{Work: time.Second})
+		time.Sleep(3 * time.Second)
+		if n := len(c.fleet.Ledger().Runs(work.TaskName{Job: gang.ID})); n != 1 {
+			t.Errorf("the gang has %d runs after 3 s", n)
+		}
+	})
+}
