Scheduler: limit the wait of a gang for a single rack

Cause: a gang that asks for one rack waited for it without a limit.

Change: if it would fit on several racks, and less than half of the resources is in use, it waits for as long as running on several racks costs more by its estimate, between 1.5 and 10 s, and for 1.5 s when no new job has come for 5 s, because nobody else gains from the wait then.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -211,6 +211,11 @@
 	return false
 }
 
+// Fits reports whether all tasks of the gang fit into the free resources.
+func (s *Snapshot) Fits(req *Request) bool {
+	return s.gangNodes(req, func(n *Node) work.Resources { return n.Free }) != nil
+}
+
 func (s *Snapshot) placeGang(req *Request, available func(*Node) work.Resources) []*Node {
 	nodes := s.gangNodes(req, available)
 	if nodes == nil {
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -27,6 +27,15 @@
 	// preferredRackTimeout is the time after which a step no longer waits for its
 	// preferred rack.
 	preferredRackTimeout = 1500 * time.Millisecond
+	// minRackTimeout is the least time that a gang waits for a single rack if it fits on
+	// several and less than reservationMinUsedFraction of the resources is in use. While jobs
+	// arrive it waits for as long as running on several racks would take more, by its estimate
+	// and spreadingCost, but at most for maxRackTimeout. quietTime is the time without new jobs
+	// after which it does not.
+	minRackTimeout = 1500 * time.Millisecond
+	maxRackTimeout = 10 * time.Second
+	spreadingCost  = 2
+	quietTime      = 5 * time.Second
 	// replanInterval is the time between planning passes while steps are waiting.
 	replanInterval = 500 * time.Millisecond
 )
@@ -221,7 +230,12 @@
 	if p.underused[s] && now-q.job.waitingSince[q.step] > maxReservationWait {
 		s.ReleaseReservations()
 	}
-	nodes := placeExcluding(s, q, request, t.exclusions(q, p))
+	exclusions := t.exclusions(q, p)
+	nodes := placeExcluding(s, q, request, exclusions)
+	if len(nodes) == 0 && t.maySpread(s, q, request, p) {
+		request.AnyRack = true
+		nodes = placeExcluding(s, q, request, exclusions)
+	}
 	if len(nodes) > 0 {
 		t.assign(q, nodes, now)
 		if q.job.hasSuspects(q.step) {
@@ -233,6 +247,7 @@
 	}
 	if len(nodes) == len(q.tasks) {
 		delete(q.job.waitingSince, q.step)
+		delete(q.job.spreadableSince, q.step)
 		delete(q.job.claims, q.step)
 		return
 	}
@@ -253,6 +268,33 @@
 	}
 }
 
+// maySpread reports whether a gang that asks for one rack has waited for it for long enough:
+// on several racks it runs slower, but it would wait for as long as other tasks share the
+// racks.
+func (t *term) maySpread(s *plan.Snapshot, q readyStep, request *plan.Request, p *planningPass) bool {
+	if !request.Step.Gang || !request.Step.SameRack || request.AnyRack {
+		return false
+	}
+	spread := *request
+	spread.AnyRack = true
+	if !p.underused[s] || !s.Fits(&spread) {
+		delete(q.job.spreadableSince, q.step)
+		return false
+	}
+	if _, known := q.job.spreadableSince[q.step]; !known {
+		q.job.spreadableSince[q.step] = p.now
+	}
+	return p.now-q.job.spreadableSince[q.step] >= t.rackTimeout(request.Step, p.now)
+}
+
+// rackTimeout returns how long a gang waits for a single rack.
+func (t *term) rackTimeout(step *work.Step, now time.Duration) time.Duration {
+	if now-t.lastJobAt > quietTime {
+		return minRackTimeout
+	}
+	return min(max(spreadingCost*time.Duration(step.EstimateMS)*time.Millisecond, minRackTimeout), maxRackTimeout)
+}
+
 // placeExcluding places the request without the first set of workers that leaves room for a
 // task or a gang.
 func placeExcluding(s *plan.Snapshot, q readyStep, request *plan.Request, exclusions []map[string]bool) []*plan.Node {
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -33,6 +33,9 @@
 	moves map[work.TaskName]int
 	// waitingSince is when a step became ready, by step, while it has unplaced tasks.
 	waitingSince map[int]time.Duration
+	// spreadableSince is since when a gang that waits for one rack has fitted on several, by
+	// step.
+	spreadableSince map[int]time.Duration
 }
 
 // claim is a set of resources that is kept for a step while runs are being stopped for
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -53,7 +53,9 @@
 	// unlistedKeys holds the keys of workers that were not listed at the takeover but have
 	// recorded runs, by worker id.
 	unlistedKeys map[string][]string
-	zonesOut     map[string]bool
+	// lastJobAt is when the last new job was seen; 0 if none was in this term.
+	lastJobAt time.Duration
+	zonesOut  map[string]bool
 	// formerLeasesEnd is when every lease that a former owner requested has lapsed.
 	formerLeasesEnd time.Duration
 	endErr          error // why the term ended
@@ -222,6 +224,7 @@
 		if j == nil {
 			// The job was submitted after the takeover, so it has no state record.
 			j = t.inheritJob(e, nil)
+			t.lastJobAt = t.Now()
 			t.log.Info("job seen", zap.String("job", id), zap.Int("priority", j.Priority),
 				zap.Int("steps", j.StepCount()), zap.Int("tasks", j.Steps[0].Tasks), zap.Int("chain_ms", j.CriticalPathMS()),
 				zap.Int64("objective_ms", j.DeadlineMS(0)-j.AcceptedMS), zap.Int64("age_ms", t.WallClock().UnixMilli()-j.AcceptedMS))
@@ -234,7 +237,7 @@
 }
 
 func (t *term) addJob(submitted *work.Job, state *work.State) *job {
-	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, failedWorkers: map[string]bool{}, moves: map[work.TaskName]int{}, waitingSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
+	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, failedWorkers: map[string]bool{}, moves: map[work.TaskName]int{}, waitingSince: map[int]time.Duration{}, spreadableSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
 	t.jobs[submitted.ID] = j
 	return j
 }
