--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -61,6 +61,12 @@
 	Timeout time.Duration
 }
 
+// withTimeout returns a context that ends early enough for the response to reach the caller
+// in time.
+func (c Call) withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
+}
+
 const (
 	// retryAfter is the delay that rejected callers are told to wait: about the time of a
 	// takeover or of a short outage of the store.
@@ -156,16 +162,11 @@
 	return queue, organisation.Name, nil
 }
 
-// withDeadline returns a context that ends when the call must be answered.
-func (c Call) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
-}
-
 // Submit accepts a job. The caller sets the job's id, steps, spec and times; the other
 // fields are set from the queue. A job that was already accepted is not changed.
 func (s *Service) Submit(ctx context.Context, c Call, job work.Job) Answer {
 	start := time.Now()
-	ctx, cancel := c.withDeadline(ctx)
+	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
 	a := s.submit(ctx, c, &job)
 	s.updateMetrics("submission", a, start)
@@ -198,7 +199,7 @@
 // Cancel cancels a job. It succeeds if the job has already ended.
 func (s *Service) Cancel(ctx context.Context, c Call, id string) Answer {
 	start := time.Now()
-	ctx, cancel := c.withDeadline(ctx)
+	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
 	a := s.cancel(ctx, c, id)
 	s.updateMetrics("cancellation", a, start)
@@ -228,12 +229,12 @@
 
 // Status returns the status of a job.
 func (s *Service) Status(ctx context.Context, c Call, id string) Answer {
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
 	if _, _, refused := s.admit(c); refused != nil {
 		s.log("status", c, id, *refused)
 		return *refused
 	}
-	ctx, cancel := c.withDeadline(ctx)
-	defer cancel()
 	e, known, refused := s.lookup(ctx, id)
 	if refused != nil {
 		s.log("status", c, id, *refused)
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -18,6 +17,8 @@
 	// takeOverTimeout limits the reads of a takeover, because ownership may have moved on
 	// in the meantime.
 	takeOverTimeout = 3 * time.Second
+	// takeOverRetryDelay is the delay before a failed call of a takeover is repeated.
+	takeOverRetryDelay = 50 * time.Millisecond
 )
 
 // takeOver fences former owners, reads what they recorded, and adds their runs to the
@@ -32,21 +33,21 @@
 	t.spawn(t.runPublisher)
 	var list, runs []store.Record
 	group, ctx := errgroup.WithContext(ctx)
-	read := func(what string, f func() error) {
-		group.Go(func() error { return t.repeatRead(ctx, what, f) })
+	read := func(f func() error) {
+		group.Go(func() error { return t.repeatInTakeover(ctx, f) })
 	}
-	read("statuses", func() error { return t.Statuses.Sync(ctx) })
-	read("submissions", func() error { return t.Submissions.Sync(ctx) })
-	read("states", func() (err error) {
+	read(func() error { return t.Statuses.Sync(ctx) })
+	read(func() error { return t.Submissions.Sync(ctx) })
+	read(func() (err error) {
 		runs, _, err = t.Store.Newest(ctx, replica.TopicRuns)
 		return err
 	})
-	read("workers", func() (err error) {
+	read(func() (err error) {
 		list, _, err = t.Store.Newest(ctx, t.WorkerTopic)
 		return err
 	})
 	if err := group.Wait(); err != nil {
-		return trace.Wrap(errEpochUsed, err.Error())
+		return err
 	}
 	// The former owner may have joined the group just before it lost ownership.
 	t.formerLeasesEnd = t.Now() + t.Elector.TTL + leaseRenewalGrace + t.maxLeaseDuration()
@@ -66,25 +67,17 @@
 	return nil
 }
 
-// errEpochUsed is returned by a takeover that failed after it had written. The next one needs
-// a new epoch, because the store takes an append for a repetition if its sequence number was
-// used in the same epoch.
-var errEpochUsed = errors.New("the takeover failed after it had used its epoch")
-
-// takeOverRetryDelay is the delay before a failed read of a takeover is repeated.
-const takeOverRetryDelay = 50 * time.Millisecond
-
-// repeatRead calls f until it succeeds or the context ends.
-func (t *term) repeatRead(ctx context.Context, what string, f func() error) error {
+// repeatInTakeover calls f until it succeeds, a later owner was seen, or the context ends.
+func (t *term) repeatInTakeover(ctx context.Context, f func() error) error {
 	for {
 		err := f()
-		if err == nil {
-			return nil
+		var sequenceErr *store.SequenceError
+		if err == nil || errors.Is(err, store.ErrFenced) || errors.As(err, &sequenceErr) || ctx.Err() != nil {
+			return err
 		}
-		t.log.Warn("a read of the takeover failed", zap.String("what", what), zap.Error(err))
+		t.log.Warn("a call of the takeover failed; repeating it", zap.Error(err))
 		select {
 		case <-ctx.Done():
-			return err
 		case <-time.After(takeOverRetryDelay):
 		}
 	}
@@ -98,13 +91,10 @@
 	fence := func(w *topicWriter, records ...store.Record) {
 		position := w.nextPosition(t.epoch)
 		group.Go(func() error {
-			_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
-			var sequenceErr *store.SequenceError
-			if errors.As(err, &sequenceErr) {
-				// An earlier term in this epoch has written already, so the epoch is used up.
-				return trace.Wrap(store.ErrFenced)
-			}
-			return err
+			return t.repeatInTakeover(ctx, func() error {
+				_, err := t.Store.AppendFenced(ctx, w.topic, position, records)
+				return err
+			})
 		})
 	}
 	fence(&t.runWriter)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -25,6 +25,8 @@
 	Hangs bool
 	// CrashesWorker marks a task that crashes each worker that starts it.
 	CrashesWorker bool
+	// CrashesBeforeAnswer marks one that crashes them before they answer the start.
+	CrashesBeforeAnswer bool
 }
 
 // FleetOptions are the parameters of a fleet.
@@ -35,6 +37,10 @@
 	// several.
 	CrossRackSlowdown float64
 	Seed              uint64
+	// EndsPageSize is the largest number of ends in a report; 0 means defaultEndsPageSize.
+	EndsPageSize int
+	// OrderTime is the time that a worker needs for an order. Orders wait for earlier ones.
+	OrderTime time.Duration
 	// StaleEntries keeps the entries of workers unchanged while the store is unavailable.
 	StaleEntries bool
 	// NewIDAfterCrash gives workers a new id when they restart after a crash that a task
@@ -88,8 +94,14 @@
 	ended           bool
 }
 
+// defaultEndsPageSize is the page size of the platform's workers.
+const defaultEndsPageSize = 500
+
 // NewFleet returns a fleet without workers.
 func NewFleet(o FleetOptions, s *Store) *Fleet {
+	if o.EndsPageSize == 0 {
+		o.EndsPageSize = defaultEndsPageSize
+	}
 	return &Fleet{
 		FleetOptions: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), store: s, workers: map[string]*Worker{},
 		jobs: map[string]registeredJob{}, gangs: map[gangKey]*gang{}, failures: map[work.TaskName]int{},
@@ -141,6 +153,7 @@
 	highestEndedRun map[work.TaskName]int // highest run that was stopped or has ended
 	ends            []workers.EndedRun    // ended runs that are not acknowledged yet
 	acked           int64
+	busyUntil       time.Time // when the orders that have arrived are executed
 	lastEndNumber   int64
 	leaseTimer      *time.Timer
 	leaseEnd        time.Time
@@ -335,18 +348,24 @@
 	time.AfterFunc(taskCrashDelay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if w.runs[r.name.Task] != r {
-			return
+		if w.runs[r.name.Task] == r {
+			w.crashNow(r)
+		}
+	})
+}
+
+// crashNow crashes the worker because of a run, and restarts it later. The caller holds the
+// lock.
+func (w *Worker) crashNow(r *activeRun) {
+	f := w.fleet
+	w.removeRun(r, endingCrashedWorker)
+	w.terminate()
+	time.AfterFunc(taskCrashDownTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !w.up && w.closed == 0 {
+			w.restartAfterCrash()
 		}
-		w.removeRun(r, endingCrashedWorker)
-		w.terminate()
-		time.AfterFunc(taskCrashDownTime, func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if !w.up && w.closed == 0 {
-				w.restartAfterCrash()
-			}
-		})
 	})
 }
 
