--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -45,7 +46,7 @@
 	}
 	for _, seed := range all {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { simulateDay(t, seed, false) })
+			synctest.Test(t, func(t *testing.T) { simulateDay(t, seed, dayKind{}) })
 		})
 	}
 }
@@ -57,7 +58,19 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { simulateDay(t, seed, true) })
+			synctest.Test(t, func(t *testing.T) { simulateDay(t, seed, dayKind{taskCrashes: true}) })
+		})
+	}
+}
+
+// TestRandomDaysStarveNobody is TestRandomDays with a check that no job has nothing running for
+// maxStarvation once the faults have ended, if there is room for it twice over and less than
+// half of the capacity is in use.
+func TestRandomDaysStarveNobody(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { simulateDay(t, seed, dayKind{checksStarvation: true}) })
 		})
 	}
 }
@@ -84,6 +97,8 @@
 	crashRNG  *rand.Rand
 	jobs      []plannedJob
 	waveCount int
+	// checksStarvation makes awaitAll report jobs that have nothing running.
+	checksStarvation bool
 }
 
 type plannedJob struct {
@@ -91,7 +106,10 @@
 	want work.Status
 }
 
-func simulateDay(t *testing.T, seed uint64, taskCrashes bool) {
+// dayKind is what a random day has or checks in addition.
+type dayKind struct{ taskCrashes, checksStarvation bool }
+
+func simulateDay(t *testing.T, seed uint64, kind dayKind) {
 	log := zap.NewNop()
 	if *printLogs {
 		log = zaptest.NewLogger(t)
@@ -100,8 +118,10 @@
 		cluster: newCluster(t, clusterOptions{hosts: dayHosts, workers: dayWorkers, seed: seed, log: log}),
 		rng:     rand.New(rand.NewPCG(seed, 3)),
 		kindRNG: rand.New(rand.NewPCG(seed, 5)),
+
+		checksStarvation: kind.checksStarvation,
 	}
-	if taskCrashes {
+	if kind.taskCrashes {
 		d.crashRNG = rand.New(rand.NewPCG(seed, 7))
 	}
 	defer d.close()
@@ -129,7 +149,11 @@
 func (d *randomDay) awaitAll() {
 	deadline := time.Now().Add(finishTimeout)
 	pending := d.jobs
+	starvedSince := map[string]time.Time{}
 	for len(pending) > 0 && time.Now().Before(deadline) {
+		if d.checksStarvation {
+			d.checkStarvation(pending, starvedSince)
+		}
 		var open []plannedJob
 		for _, j := range pending {
 			s := d.status(j.ID)
@@ -148,6 +172,31 @@
 	}
 }
 
+// maxStarvation is how long a job may have nothing running once the faults have ended.
+const maxStarvation = 3 * time.Second
+
+// checkStarvation reports jobs that have nothing running for maxStarvation although there is
+// room for them. since holds the times since when they have nothing running.
+func (d *randomDay) checkStarvation(pending []plannedJob, since map[string]time.Time) {
+	var ids []string
+	for _, j := range pending {
+		ids = append(ids, j.ID)
+	}
+	starved := map[string]time.Time{}
+	for _, name := range d.fleet.Starved(ids, nil) {
+		starved[name] = since[name]
+		if since[name].IsZero() {
+			starved[name] = time.Now()
+		}
+		if time.Since(starved[name]) > maxStarvation {
+			d.t.Errorf("%s has nothing running for %s, with room for it", name, maxStarvation)
+			starved[name] = time.Now().Add(time.Hour)
+		}
+	}
+	clear(since)
+	maps.Copy(since, starved)
+}
+
 // randomJob generates a random job and returns a function that submits it.
 func (d *randomDay) randomJob(n int) func() {
 	demand := work.Resources{CPU: 4000 + d.rng.IntN(50_000), MemoryMB: 40_000, Accelerators: []int{1, 1, 2, 4, 8}[d.rng.IntN(5)]}
--- a/internal/standin/starved.go
+++ b/internal/standin/starved.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -29,6 +30,9 @@
 	var starved []string
 	for _, id := range jobs {
 		j := f.jobs[id]
+		if j.Occurrences > 0 || j.NeedsAdvice {
+			continue // the room that they can use is not known here
+		}
 		for s := range j.Steps {
 			if !f.ledger.stepReady(j.Job, s) || !fitsTwice(&j.Steps[s], free) {
 				continue
@@ -60,7 +64,7 @@
 			free[w] = w.entry.Capacity.Minus(f.ledger.usedCapacity[w])
 		}
 	}
-	return free, used.Plus(used).Fits(total)
+	return free, 2*used.CPU < total.CPU && 2*used.MemoryMB < total.MemoryMB && 2*used.Accelerators < total.Accelerators
 }
 
 // stepReady reports whether the step is not done and those that it waits for are. The
@@ -91,11 +95,17 @@
 // fitsTwice reports whether twice the tasks of a gang, or two tasks of another step, fit into
 // the free capacity.
 func fitsTwice(s *work.Step, free map[*Worker]work.Resources) bool {
+	if s.MaxPerWorker > 0 || s.BestEffort || s.LatencySensitive {
+		return false // such tasks cannot use all free capacity
+	}
 	needed := 2
 	if s.Gang {
 		needed = 2 * s.Tasks
 	}
-	for _, room := range free {
+	for w, room := range free {
+		if s.RequiredLabel != "" && !slices.Contains(w.entry.Labels, s.RequiredLabel) {
+			continue
+		}
 		for ; needed > 0 && s.Demand.Fits(room); needed-- {
 			room = room.Minus(s.Demand)
 		}
