Engine: show that an owner without a path to the workers stays the owner

Cause: ownership depends on the store alone. An owner that reaches it, and none of the workers, renews its membership and writes its heartbeat, so no other host takes over.

Conclusion: accepted jobs do not run for as long as such a cut lasts. Found by reading; the soak has one address for all hosts at its workers and cannot cut a single host off.

--- a/internal/engine/starvation_test.go
+++ b/internal/engine/starvation_test.go
@@ -29,3 +29,23 @@
 		}
 	})
 }
+
+// TestIsolatedOwnerGivesUp guards against an owner that keeps its ownership, so that no task
+// starts, while it reaches the store but not the workers.
+func TestIsolatedOwnerGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 6})
+		defer c.close()
+		isolated := c.owner().name
+		for i := range c.workers {
+			c.fleet.SetUnreachable(isolated, newWorkerEntry(i).ID, true)
+		}
+		j := newJob(1, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 1000})
+		c.submit("normal", j, standin.Behaviour{Work: time.Second})
+		c.awaitStatus(j.ID, work.Completed, 15*time.Second)
+		time.Sleep(time.Minute)
+		if c.owner().name == isolated {
+			t.Error("the isolated host is the owner")
+		}
+	})
+}
