Scheduler: leave ownership when most living workers cannot be reached

Cause: an owner without a path to the workers kept its ownership.

Change: a worker that does not answer, but has written its entry since, is alive. If more of those than of workers that answer exist for 2 s, the term ends, and the host does not join the group for 10 s, so that another host takes over. Workers that have crashed write no entries and do not count.

Conclusion: an owner needs the store and the workers. If no host reaches most workers, ownership moves every 4 s or more; that case was not measured.

--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -104,6 +104,9 @@
 			s.Logger.Error("the scheduler failed unexpectedly", zap.Int64("epoch", epoch), zap.String("stack", panicErr.Stack))
 			s.metrics.panics.Inc(1)
 		}
+		if errors.Is(err, errIsolated) {
+			s.Elector.StandBack(isolationStandBack)
+		}
 		if ctx.Err() == nil {
 			s.Elector.MarkFenced(epoch)
 		}
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -53,6 +53,8 @@
 	// unlistedKeys holds the keys of workers that were not listed at the takeover but have
 	// recorded runs, by worker id.
 	unlistedKeys map[string][]string
+	// isolatedSince is since when most workers that are alive cannot be reached; 0 if they can.
+	isolatedSince time.Duration
 	// lastJobAt is when the last new job was seen; 0 if none was in this term.
 	lastJobAt time.Duration
 	zonesOut  map[string]bool
@@ -185,6 +187,7 @@
 	if now-t.checkedAt >= tickInterval {
 		t.checkedAt = now
 		t.checkWorkers(now)
+		t.checkIsolation(now)
 		t.forgetExpiredJobs()
 		t.checkWaves(now)
 	}
--- a/internal/engine/tenure/standby.go
+++ b/internal/engine/tenure/standby.go
@@ -14,6 +14,9 @@
 // standBy joins the group if the owner has stopped writing, has left, or has a smaller CPU
 // share.
 func (e *Elector) standBy(ctx context.Context) {
+	if e.standsBack() {
+		return
+	}
 	e.confirmSilence(ctx)
 	silent := e.silentOwner()
 	if silent == "" && e.Epoch() == 0 && e.Now()-e.queriedAt < holderQueryInterval {
--- a/internal/engine/tenure/tenure.go
+++ b/internal/engine/tenure/tenure.go
@@ -77,6 +77,8 @@
 	failedJoins int  // failed joins since the last successful one
 	// storeLatency is the duration of the last successful call to the store.
 	storeLatency time.Duration
+	// standBackUntil is the time until which this host does not join the group.
+	standBackUntil time.Duration
 	// isOutranked is set while the owner has a larger CPU share than this host.
 	isOutranked atomic.Bool
 	changed     chan struct{}
@@ -143,6 +145,20 @@
 	}
 }
 
+// StandBack keeps this host from becoming the owner for d, so that another one can.
+func (e *Elector) StandBack(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.standBackUntil = e.Now() + d
+}
+
+// standsBack reports whether StandBack is in effect.
+func (e *Elector) standsBack() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Now() < e.standBackUntil
+}
+
 // Run takes part in the election until the context ends, and then leaves the group.
 //
 // Only the owner stays in the group, because each change of the membership may reassign
