--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -27,6 +27,8 @@
 	CrashesWorker bool
 	// CrashesBeforeAnswer marks one that crashes them before they answer the start.
 	CrashesBeforeAnswer bool
+	// CheckpointPadding is the number of bytes that are added to each checkpoint.
+	CheckpointPadding int
 }
 
 // FleetOptions are the parameters of a fleet.
