--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -1,390 +1,256 @@
 package soak
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
-)
-
-// answerTimeout bounds the wait for a response. It exceeds the grace period, within which even
-// callers with a longer timeout must get an answer of a stopping host.
-const answerTimeout = 9 * time.Second
-
-// lostRequest is a request that was written whole and got no complete response.
-type lostRequest struct {
-	class, host, method, kind string
-	ignoredClose              bool          // the caller uses connections that the host has asked to close
-	sinceSignal               time.Duration // from the last SIGTERM of the host to the end of the connection
-	waited                    time.Duration // from the request's last byte to the end of the connection
-}
-
-func (l lostRequest) String() string {
-	return fmt.Sprintf("%s %s %s: %s %v after SIGTERM, %v after the last byte", l.class, l.host, l.method, l.kind,
-		l.sinceSignal.Round(time.Millisecond), l.waited.Round(time.Millisecond))
-}
-
-// callerLog collects what the callers saw.
-type callerLog struct {
-	mu       sync.Mutex
-	sent     map[string]int // requests that were written whole, by class
-	statuses map[int]int
-	lost     []lostRequest
-	accepted map[string]bool // paths of accepted jobs
-}
-
-func newCallerLog() *callerLog {
-	return &callerLog{sent: map[string]int{}, statuses: map[int]int{}, accepted: map[string]bool{}}
-}
-
-func (l *callerLog) countSent(class string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.sent[class]++
-}
-
-func (l *callerLog) countAnswer(status int, q *rawRequest) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.statuses[status]++
-	if q.method == http.MethodPost && status == http.StatusOK {
-		l.accepted[q.path] = true
-	}
-}
-
-func (l *callerLog) addLost(r lostRequest) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lost = append(l.lost, r)
-}
-
-// target is a host as its callers see it.
-type target struct {
-	name, address string
-	signalledAt   atomic.Int64 // Unix nanoseconds of the last first SIGTERM
-}
-
-// rawRequest is an HTTP request as bytes.
-type rawRequest struct {
-	method, path string
-	body         []byte
-	headers      string
-	writtenAt    time.Time
-}
-
-func (q *rawRequest) head() []byte {
-	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\nContent-Length: %d\r\n%s\r\n", q.method, q.path, len(q.body), q.headers)
-}
-
-func (q *rawRequest) bytes() []byte { return append(q.head(), q.body...) }
-
-// rawConn is a caller's connection.
-type rawConn struct {
-	net.Conn
-	reader *bufio.Reader
-}
 
-// idle waits for d and reports whether the host kept the connection open.
-func (c *rawConn) idle(d time.Duration) bool {
-	_ = c.SetReadDeadline(time.Now().Add(d))
-	_, err := c.reader.Peek(1)
-	var netErr net.Error
-	return err == nil || errors.As(err, &netErr) && netErr.Timeout()
-}
+	"github.com/daisyfold/daisyfold/internal/engine/work"
+	"github.com/daisyfold/daisyfold/internal/standin"
+	"github.com/daisyfold/daisyfold/platform/platformtest"
+)
 
-// caller sends requests to one host over raw TCP connections.
-type caller struct {
-	id     int
-	class  string
-	target *target
-	log    *callerLog
-	stop   <-chan struct{}
-	rng    *rand.Rand
-	body   []byte // of submissions
-	jobs   int    // number of submitted jobs
-	// ignoresClose is set for a caller that uses a connection until the host closes it.
-	ignoresClose bool
-}
+const (
+	maxVisibleDelay  = 3 * time.Second // from an acceptance until every host knows the job
+	maxSubmitRetries = 4
+	// maxPersistentAttempts and persistentDelay are those of a caller that does not give up.
+	maxPersistentAttempts = 60
+	persistentDelay       = 300 * time.Millisecond
+	// contactTime is how long after a fault the host, or the store, still counts as disturbed.
+	contactTime = 3 * time.Second
+)
 
-func (c *caller) stopped() bool {
-	select {
-	case <-c.stop:
-		return true
-	default:
-		return false
+// submission is a job and what callers know about it.
+type submission struct {
+	job  *work.Job
+	path string
+	body []byte
+	// behaviour is that of all tasks.
+	behaviour standin.Behaviour
+	mu        sync.Mutex
+	// acceptedAt is when the first acceptance was received; maybeAccepted is set by an
+	// attempt whose outcome is unknown.
+	acceptedAt    time.Time
+	maybeAccepted bool
+	cancelSentAt  time.Time
+	cancelledAt   time.Time // when the cancellation was acknowledged
+	ended         string    // final state that was returned
+	lastCall      time.Time
+}
+
+func (s *submission) isAccepted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.acceptedAt.IsZero()
+}
+
+func (s *submission) isCancelled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.cancelSentAt.IsZero()
+}
+
+// newSubmission returns a random job: a gang, tasks in parallel, or steps after steps.
+func (s *soakRun) newSubmission(rng *rand.Rand) *submission {
+	n := s.jobCount.Add(1)
+	id := fmt.Sprintf("%016x", n)
+	queue, step := "batch", work.Step{
+		Tasks: 1 + rng.IntN(min(40, *workerCount)), Demand: work.Resources{CPU: 11_000, MemoryMB: 46_000, Accelerators: 1},
+		EstimateMS: 3000, SavesProgress: rng.IntN(2) == 0,
 	}
-}
-
-func (c *caller) between(low, high int) time.Duration {
-	return time.Duration(low+c.rng.IntN(high-low)) * time.Millisecond
-}
-
-// connect opens a connection, or returns nil if the host does not listen.
-func (c *caller) connect() *rawConn {
-	conn, err := net.DialTimeout("tcp", c.target.address, time.Second)
-	if err != nil {
-		time.Sleep(20 * time.Millisecond)
-		return nil
+	duration := 500 + rng.IntN(5500)
+	switch k := rng.IntN(10); {
+	case k < 5:
+		queue = "urgent"
+		step.Tasks, step.Gang, step.SameRack = 1+rng.IntN(6), true, rng.IntN(5) > 0
+		step.Demand = work.Resources{CPU: 15_000, MemoryMB: 61_000, Accelerators: []int{1, 2, 4, 8}[rng.IntN(4)]}
+		duration = 300 + rng.IntN(3000)
+	case k < 7:
+		queue = "normal"
+		step.Tasks, step.Gang, step.SameRack = 1+rng.IntN(max(*workerCount/4, 2)), true, rng.IntN(2) == 0
+		step.Demand = work.Resources{CPU: 52_000, MemoryMB: 210_000, Accelerators: []int{1, 2, 4, 8}[rng.IntN(4)]}
+	case k < 8 && *workerCount < 100, rng.IntN(20) == 0:
+		step.Tasks, step.LongRunning, step.SavesProgress = 1+rng.IntN(3), true, false
 	}
-	return &rawConn{Conn: conn, reader: bufio.NewReader(conn)}
-}
-
-// request returns a random request: mostly status queries, but also submissions and
-// cancellations.
-func (c *caller) request() *rawRequest {
-	q := &rawRequest{method: http.MethodGet, headers: fmt.Sprintf("Deadline-Ms: %d\r\n", []int{1500, 3000, 20000}[c.rng.IntN(3)])}
-	switch c.rng.IntN(10) {
-	case 0, 1:
-		c.jobs++
-		q.method, q.body = http.MethodPost, c.body
-	case 2:
-		q.method = http.MethodDelete
+	steps := []work.Step{step}
+	for len(steps) < 4 && rng.IntN(3) == 0 && !step.LongRunning {
+		next := step
+		next.Tasks, next.After = 1+rng.IntN(step.Tasks), []int{len(steps) - 1}
+		steps = append(steps, next)
 	}
-	q.path = fmt.Sprintf("/batch/%08x%08x", c.id, c.jobs)
-	return q
-}
-
-func (c *caller) submission() *rawRequest {
-	c.jobs++
-	return &rawRequest{method: http.MethodPost, body: c.body, path: fmt.Sprintf("/batch/%08x%08x", c.id, c.jobs), headers: "Deadline-Ms: 3000\r\n"}
-}
-
-// write writes the last bytes of the requests and reports whether the whole data was
-// written.
-func (c *caller) write(conn *rawConn, data []byte, requests ...*rawRequest) bool {
-	if _, err := conn.Write(data); err != nil {
-		return false
+	j := &submission{
+		job:       &work.Job{ID: id, Spec: "spec " + id, MaxAttempts: 3, Steps: steps},
+		path:      "/" + queue + "/" + id,
+		behaviour: standin.Behaviour{Work: time.Duration(duration) * time.Millisecond},
 	}
-	for _, q := range requests {
-		q.writtenAt = time.Now()
-		c.log.countSent(c.class)
+	if rng.IntN(20) == 0 {
+		j.behaviour.Failures = 1 + rng.IntN(4)
 	}
-	return true
-}
-
-// readAnswer reads the final response to the request and reports whether the connection
-// can be used further.
-func (c *caller) readAnswer(conn *rawConn, q *rawRequest) bool {
-	_ = conn.SetReadDeadline(time.Now().Add(answerTimeout))
-	for {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: q.method})
-		if err == nil && response.StatusCode == http.StatusContinue {
-			continue
-		}
-		if err == nil {
-			_, err = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
+	j.body = platformtest.EncodeSubmission(j.job)
+	s.fleet.RegisterJob(j.job, func(int, int) standin.Behaviour { return j.behaviour })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submissions = append(s.submissions, j)
+	return j
+}
+
+// runCaller sends random calls until the end of the traffic.
+func (s *soakRun) runCaller(rng *rand.Rand, end time.Time) {
+	c := newClient()
+	defer c.close()
+	home := s.hosts[rng.IntN(len(s.hosts))]
+	pick := func() *process {
+		if rng.IntN(3) > 0 {
+			return home
 		}
-		if err != nil {
-			c.lose(q, err)
-			return false
-		}
-		c.log.countAnswer(response.StatusCode, q)
-		return c.ignoresClose || !response.Close
+		return s.hosts[rng.IntN(len(s.hosts))]
 	}
-}
-
-// errNotReached is the error of a pipelined request after the connection's last response.
-var errNotReached = errors.New("closed before the response")
-
-// readAnswers reads the responses to pipelined requests. Requests after the last response
-// of the connection are lost.
-func (c *caller) readAnswers(conn *rawConn, requests []*rawRequest) bool {
-	for i, q := range requests {
-		if c.readAnswer(conn, q) {
-			continue
-		}
-		for _, unanswered := range requests[i+1:] {
-			c.lose(unanswered, errNotReached)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(*callInterval)))
+		j := s.randomSubmission(rng)
+		switch k := rng.IntN(100); {
+		case j == nil || k < 12:
+			s.submit(c, pick, rng, s.newSubmission(rng))
+		case k < 14 && j.isAccepted():
+			s.cancel(c, pick(), j)
+		case k < 16:
+			s.handle(pick(), s.call(c, pick(), http.MethodPost, j.path, j.body), j, http.MethodPost)
+		case k < 20:
+			s.call(c, pick(), http.MethodGet, j.path[:strings.LastIndexByte(j.path, '/')+1], nil)
+		default:
+			h := pick()
+			s.handle(h, s.call(c, h, http.MethodGet, j.path, nil), j, http.MethodGet)
 		}
-		return false
 	}
-	return true
 }
 
-func (c *caller) lose(q *rawRequest, err error) {
-	kind := "unfinished response"
-	var netErr net.Error
-	switch {
-	case errors.Is(err, syscall.ECONNRESET):
-		kind = "reset"
-	case errors.Is(err, errNotReached):
-		kind = "closed before"
-	case errors.As(err, &netErr) && netErr.Timeout():
-		kind = "no response"
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		kind = "EOF"
+func (s *soakRun) randomSubmission(rng *rand.Rand) *submission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.submissions) == 0 {
+		return nil
 	}
-	now := time.Now()
-	c.log.addLost(lostRequest{
-		class: c.class, host: c.target.name, method: q.method, kind: kind, ignoredClose: c.ignoresClose,
-		sinceSignal: now.Sub(time.Unix(0, c.target.signalledAt.Load())), waited: now.Sub(q.writtenAt),
-	})
-}
-
-// callerClasses are the kinds of callers. Each function uses one connection until it ends.
-var callerClasses = []struct {
-	name string
-	use  func(*caller, *rawConn)
-}{
-	{"keep-alive", func(c *caller, conn *rawConn) { c.repeat(conn, 0, 12) }},
-	{"idle", func(c *caller, conn *rawConn) { c.repeat(conn, 300, 6000) }},
-	{"ignores-close", func(c *caller, conn *rawConn) { c.ignoresClose = true; c.repeat(conn, 0, 12) }},
-	{"several-connections", (*caller).useSeveral},
-	{"pipelined", (*caller).usePipeline},
-	{"expect-continue", (*caller).useExpectContinue},
-	{"half-body", (*caller).useHalfBody},
-	{"slow-reader", (*caller).useSlowReader},
-	{"new-connection", (*caller).useOnce},
+	return s.submissions[rng.IntN(len(s.submissions))]
 }
 
-// run uses one connection after the other until the caller is stopped.
-func (c *caller) run(use func(*caller, *rawConn)) {
-	for !c.stopped() {
-		if conn := c.connect(); conn != nil {
-			use(c, conn)
-			_ = conn.Close()
+// submit submits a job to one host after the other until it is accepted, and sometimes once
+// more.
+func (s *soakRun) submit(c *client, pick func() *process, rng *rand.Rand, j *submission) {
+	for attempt := range 1 + maxSubmitRetries {
+		h := pick()
+		if attempt > 0 {
+			h = s.hosts[rng.IntN(len(s.hosts))]
 		}
-	}
-}
-
-// repeat sends a request after each pause of low to high milliseconds.
-func (c *caller) repeat(conn *rawConn, low, high int) {
-	for !c.stopped() && conn.idle(c.between(low, high)) {
-		q := c.request()
-		if !c.write(conn, q.bytes(), q) || !c.readAnswer(conn, q) {
-			return
+		a := s.call(c, h, http.MethodPost, j.path, j.body)
+		s.handle(h, a, j, http.MethodPost)
+		if a.status == http.StatusOK {
+			break
 		}
+		time.Sleep(time.Duration(100+rng.IntN(400)) * time.Millisecond)
 	}
-}
-
-// useSeveral sends a request on each of several connections before it reads the responses.
-func (c *caller) useSeveral(first *rawConn) {
-	conns := []*rawConn{first}
-	for range 3 {
-		if conn := c.connect(); conn != nil {
-			defer func() { _ = conn.Close() }()
-			conns = append(conns, conn)
-		}
+	if !j.isAccepted() && rng.IntN(2) == 0 {
+		firstHost := rng.IntN(len(s.hosts))
+		s.wg.Go(func() { s.submitPersistently(firstHost, j) })
 	}
-	for len(conns) > 0 && !c.stopped() {
-		requests := map[*rawConn]*rawRequest{}
-		for _, conn := range conns {
-			if conn.idle(c.between(0, 10)) {
-				if q := c.request(); c.write(conn, q.bytes(), q) {
-					requests[conn] = q
-				}
-			}
-		}
-		open := conns[:0]
-		for _, conn := range conns {
-			if q := requests[conn]; q != nil && c.readAnswer(conn, q) {
-				open = append(open, conn)
-			}
-		}
-		conns = open
+	if rng.IntN(20) == 0 {
+		s.wg.Go(func() {
+			time.Sleep(2 * time.Second)
+			late := newClient()
+			defer late.close()
+			s.handle(s.hosts[0], s.call(late, s.hosts[0], http.MethodPost, j.path, j.body), j, http.MethodPost)
+		})
 	}
 }
 
-// usePipeline writes several requests at once before it reads the responses.
-func (c *caller) usePipeline(conn *rawConn) {
-	for !c.stopped() && conn.idle(c.between(0, 30)) {
-		var requests []*rawRequest
-		var data []byte
-		for range 2 + c.rng.IntN(4) {
-			q := c.request()
-			requests = append(requests, q)
-			data = append(data, q.bytes()...)
-		}
-		if !c.write(conn, data, requests...) {
-			return
-		}
-		if !c.readAnswers(conn, requests) {
+// submitPersistently submits a job to one host after the other until it is accepted.
+func (s *soakRun) submitPersistently(firstHost int, j *submission) {
+	c := newClient()
+	defer c.close()
+	for attempt := range maxPersistentAttempts {
+		h := s.hosts[(firstHost+attempt)%len(s.hosts)]
+		s.handle(h, s.call(c, h, http.MethodPost, j.path, j.body), j, http.MethodPost)
+		if j.isAccepted() {
 			return
 		}
+		time.Sleep(persistentDelay)
 	}
+	s.addViolation("job %s was not accepted", j.path)
 }
 
-// useExpectContinue sends the body of a submission when the host asks for it.
-func (c *caller) useExpectContinue(conn *rawConn) {
-	for !c.stopped() && conn.idle(c.between(0, 30)) {
-		q := c.submission()
-		q.headers += "Expect: 100-continue\r\n"
-		if !c.write(conn, q.head()) {
-			return
-		}
-		_ = conn.SetReadDeadline(time.Now().Add(answerTimeout))
-		line, err := conn.reader.Peek(len("HTTP/1.1 100"))
-		if err != nil {
-			return // the body has not been sent
-		}
-		if string(line) == "HTTP/1.1 100" && !c.write(conn, q.body, q) || !c.readAnswer(conn, q) {
-			return
-		}
+func (s *soakRun) cancel(c *client, h *process, j *submission) {
+	j.mu.Lock()
+	if j.cancelSentAt.IsZero() {
+		j.cancelSentAt = time.Now()
 	}
-}
-
-// useHalfBody pauses in the middle of a submission.
-func (c *caller) useHalfBody(conn *rawConn) {
-	for !c.stopped() && conn.idle(c.between(0, 30)) {
-		q := c.submission()
-		data := q.bytes()
-		half := len(data) - len(q.body)/2
-		if !c.write(conn, data[:half]) {
-			return
-		}
-		if !conn.idle(c.between(0, 2000)) {
-			return // the host has closed the connection before the request was whole
-		}
-		if !c.write(conn, data[half:], q) || !c.readAnswer(conn, q) {
-			return
-		}
+	j.mu.Unlock()
+	s.fleet.Ledger().MarkCancelled(j.job.ID)
+	s.handle(h, s.call(c, h, http.MethodDelete, j.path, nil), j, http.MethodDelete)
+}
+
+// call is client.call, and counts calls without an answer and wrong refusals.
+func (s *soakRun) call(c *client, h *process, method, path string, body []byte) answer {
+	a := c.call(h, method, path, "key", body)
+	fault := h.faultDuring(a.sent.Add(-contactTime), a.done)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[fmt.Sprintf("%s %d", method, a.status)]++
+	switch {
+	case a.err != nil && fault == "":
+		s.violate("%s %s at %s got no answer after %s (sent: %t): %v", method, path, h.name, a.done.Sub(a.sent), a.connected, a.err)
+	case a.err != nil && a.connected:
+		s.unanswered[fault]++
+	case a.status == http.StatusNotFound || a.status == http.StatusUnauthorized || a.status == http.StatusBadRequest:
+		s.violate("%s %s at %s got status %d %s", method, path, h.name, a.status, a.body)
 	}
+	return a
 }
 
-// useSlowReader writes many requests and reads the responses a few bytes at a time.
-func (c *caller) useSlowReader(conn *rawConn) {
-	const batch = 20
-	_ = conn.Conn.(*net.TCPConn).SetReadBuffer(2048)
-	slow := &rawConn{Conn: conn.Conn, reader: bufio.NewReaderSize(slowReader{conn.Conn}, 16)}
-	for !c.stopped() && slow.idle(c.between(0, 300)) {
-		var requests []*rawRequest
-		var data []byte
-		for range batch {
-			q := c.request()
-			requests = append(requests, q)
-			data = append(data, q.bytes()...)
-		}
-		if !c.write(slow, data, requests...) {
-			return
+// handle checks the answer to a call that concerns a job, and records what it tells.
+func (s *soakRun) handle(h *process, a answer, j *submission, method string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	wasAccepted := !j.acceptedAt.IsZero()
+	switch {
+	case method == http.MethodPost && a.status == http.StatusOK:
+		if !wasAccepted {
+			j.acceptedAt = a.done
 		}
-		if !c.readAnswers(slow, requests) {
-			return
+	case method == http.MethodPost && a.status != http.StatusTooManyRequests && a.status != http.StatusServiceUnavailable:
+		j.maybeAccepted = j.maybeAccepted || a.connected
+	case method == http.MethodDelete && (a.status == http.StatusOK || a.status == http.StatusGone):
+		if j.cancelledAt.IsZero() {
+			j.cancelledAt = a.done
 		}
+	case method == http.MethodGet && a.status == http.StatusGone && wasAccepted && a.sent.After(j.acceptedAt):
+		s.addViolation("%s returned status 410 for job %s, %s after its acceptance", h.name, j.path, a.sent.Sub(j.acceptedAt))
+	case method == http.MethodGet && a.status == http.StatusOK:
+		s.checkState(h, a, j)
 	}
 }
 
-// slowReader reads at most a few bytes at a time, with pauses.
-type slowReader struct{ net.Conn }
-
-// Read implements io.Reader.
-func (r slowReader) Read(p []byte) (int, error) {
-	time.Sleep(time.Millisecond)
-	return r.Conn.Read(p[:min(len(p), 64)])
-}
-
-// useOnce sends a single request.
-func (c *caller) useOnce(conn *rawConn) {
-	q := c.request()
-	if c.write(conn, q.bytes(), q) {
-		c.readAnswer(conn, q)
+// checkState checks the state that was returned for a job. The caller holds its lock.
+func (s *soakRun) checkState(h *process, a answer, j *submission) {
+	state := strings.TrimSuffix(strings.TrimPrefix(a.body, `{"state":"`), `"}`)
+	ledger := s.fleet.Ledger()
+	switch {
+	case state == "completed" && !ledger.AllDone(j.job):
+		s.addViolation("%s returned completed for job %s, which is not", h.name, j.path)
+	case state == "cancelled" && j.cancelSentAt.IsZero():
+		s.addViolation("%s returned cancelled for job %s, which nobody cancelled", h.name, j.path)
+	case state == "failed" && ledger.MaxFailures(j.job) < j.job.MaxAttempts:
+		s.addViolation("%s returned failed for job %s, whose tasks have failed %d times at most", h.name, j.path, ledger.MaxFailures(j.job))
+	}
+	isFinal := state == "completed" || state == "failed" || state == "cancelled"
+	if j.ended != "" && state != j.ended && a.sent.After(j.lastCall) && j.cancelSentAt.IsZero() {
+		// The host could not read newer statuses in time.
+		s.mu.Lock()
+		s.answers["older states"]++
+		s.mu.Unlock()
+	}
+	if isFinal && j.ended == "" {
+		j.ended, j.lastCall = state, a.done
 	}
-	time.Sleep(c.between(0, 20))
 }
--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -52,7 +52,11 @@
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "daisyfoldd")
-	if out, err := exec.Command("go", "build", "-o", path, "../../cmd/daisyfoldd").CombinedOutput(); err != nil {
+	args := []string{"build", "-o", path}
+	if *raceDetector {
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, "../../cmd/daisyfoldd")...).CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	return path
@@ -70,7 +74,7 @@
 
 func runPlannedChanges(t *testing.T, daemonPath string, seed uint64) {
 	r := &plannedRun{cluster: newCluster(t, daemonPath, seed), seed: seed, log: newCallerLog(), version: 1}
-	r.blockLog(r.hosts[seed%hostCount])
+	r.blockLog(r.hosts[seed%uint64(*hostCount)])
 	time.Sleep(3 * time.Second) // the hosts elect an owner
 	stop := make(chan struct{})
 	var callers, stops sync.WaitGroup
@@ -184,7 +188,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version += 1 + int64(rng.IntN(5))
-	m := testManifest()
+	m := testManifest(1)
 	m.Version = r.version
 	name := fmt.Sprintf("queue-%d", r.version)
 	m.Queues = append(m.Queues, manifest.Queue{Name: name, Host: "h", PathPrefix: "/" + name + "/", Service: "scores", Priority: 2, MaxAttempts: 3, Stretch: 3})
@@ -241,7 +245,7 @@
 		if n++; n > maxCheckedJobs {
 			return
 		}
-		status, body := r.hosts[n%hostCount].call(http.MethodGet, path, nil)
+		status, body := r.hosts[n%*hostCount].call(http.MethodGet, path, nil)
 		if status != http.StatusOK || bytes.Contains(body, []byte("failed")) {
 			r.t.Errorf("the accepted job %s returns status %d, %s", path, status, body)
 		}
@@ -306,7 +310,7 @@
 	if lost := len(r.log.lost) - crossed; lost > 0 {
 		r.t.Errorf("%d requests got no complete response, %d of them later than %v after their last byte", lost, late, lossSlack)
 	}
-	if allowed := hostCount * *stopsPerHost; crossed > allowed {
+	if allowed := *hostCount * *stopsPerHost; crossed > allowed {
 		r.t.Errorf("%d requests crossed the last close of their connection, more than %d", crossed, allowed)
 	}
 }
