Rest workers by evidence, and use them as the last choice

Cause: from the second failure in a row a worker got no runs for 2 s to 30 s, no matter whose tasks failed, and only a run that ended done reset that. One organisation's failing long-running tasks withheld idle workers from another's sound task for some 29 s.

Change: internal/engine/health decides from failures, purely. Failures of jobs that fail everywhere say nothing of a worker; one rests when several jobs, or several tasks of a job that works elsewhere, fail there. A resting worker is avoided, not excluded: it gets one task at a time as a probe when ready work would wait. A run that outlasts the failing ones, or ends done, ends the rest. Refusals back off for 2 s, always. Preemption and reservations leave resting workers out.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -25,10 +25,22 @@
 	// Overcommitted reports whether the tasks on the worker exceed its capacity, because it
 	// was reduced. It gets no task, not even one that needs none of the resource in question.
 	Overcommitted bool
+	// ProbeOnly reports whether a request gets at most one task on the worker. Gangs are
+	// exempt, because their tasks start together.
+	ProbeOnly bool
 	// Slower reports whether tasks take longer on the worker than on others.
 	Slower bool
 }
 
+// usualCapacity returns the resources that tasks may use once the worker is empty: none while
+// it is only probed.
+func (n *Node) usualCapacity() work.Resources {
+	if n.ProbeOnly {
+		return work.Resources{}
+	}
+	return n.Capacity
+}
+
 // StepKey identifies a step of a job.
 type StepKey struct {
 	Job  string
@@ -79,6 +91,9 @@
 	if limit := req.Step.MaxPerWorker; limit > 0 {
 		count = min(count, limit-n.StepTasks[req.Key])
 	}
+	if n.ProbeOnly && !req.Step.Gang {
+		count = min(count, 1)
+	}
 	return max(count, 0)
 }
 
@@ -199,12 +214,11 @@
 // FitsWhenEmpty reports whether the request would fit on the workers if nothing ran
 // there: all tasks of a gang, or at least one task of any other request.
 func (s *Snapshot) FitsWhenEmpty(req *Request) bool {
-	capacity := func(n *Node) work.Resources { return n.Capacity }
 	if req.Step.Gang {
-		return s.gangNodes(req, capacity) != nil
+		return s.gangNodes(req, (*Node).usualCapacity) != nil
 	}
 	for _, n := range s.Nodes {
-		if req.slots(n, n.Capacity) > 0 {
+		if req.slots(n, n.usualCapacity()) > 0 {
 			return true
 		}
 	}
@@ -295,7 +309,7 @@
 // Reserve takes the free resources of workers that the request is waiting for, so that
 // smaller tasks cannot starve it. It returns these workers.
 func (s *Snapshot) Reserve(req *Request) []*Node {
-	nodes := s.gangNodes(req, func(n *Node) work.Resources { return n.Capacity })
+	nodes := s.gangNodes(req, (*Node).usualCapacity)
 	if nodes == nil {
 		return nil
 	}
@@ -307,7 +321,7 @@
 	remaining := req.Tasks
 	var reserved []*Node
 	for _, n := range ordered {
-		k := min(req.slots(n, n.Capacity), remaining)
+		k := min(req.slots(n, n.usualCapacity()), remaining)
 		if k == 0 {
 			continue
 		}
@@ -329,7 +343,7 @@
 	var best []*Node
 	bestFree := -1
 	for _, rack := range s.racks() {
-		if totalSlots(req, rack, func(n *Node) work.Resources { return n.Capacity }) < req.Tasks {
+		if totalSlots(req, rack, (*Node).usualCapacity) < req.Tasks {
 			continue
 		}
 		free := totalSlots(req, rack, func(n *Node) work.Resources { return n.Free })
--- a/internal/engine/scheduler/endings.go
+++ b/internal/engine/scheduler/endings.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -23,10 +21,7 @@
 	if checkpoint == "" {
 		checkpoint = r.checkpoint
 	}
-	t.countFailure(r.worker, ending)
-	if ending == workers.EndedFailed && r.job != nil {
-		r.job.failedWorkers[r.worker.key] = true
-	}
+	t.recordOutcome(r, ending)
 	task := r.currentTask()
 	if task == nil {
 		return
@@ -100,30 +95,3 @@
 		t.finish(j, work.Failed, "a task has failed as often as it may")
 	}
 }
-
-// failuresBeforeBackoff is the number of consecutive failures after which a worker gets no
-// new runs for a while.
-const failuresBeforeBackoff = 2
-
-// minWorkerBackoff is the first backoff. Each further failure doubles it, at most
-// maxBackoffDoublings times and up to maxWorkerBackoff.
-const (
-	minWorkerBackoff = 2 * time.Second
-	maxWorkerBackoff = 30 * time.Second
-)
-
-const maxBackoffDoublings = 4
-
-// countFailure updates the failure count of a worker. A worker on which every run fails
-// gets no new runs for a while.
-func (t *term) countFailure(w *worker, ending workers.Ending) {
-	switch ending {
-	case workers.EndedDone:
-		w.failures = 0
-	case workers.EndedFailed:
-		w.failures++
-		if w.failures >= failuresBeforeBackoff {
-			t.backOff(w, "its runs fail")
-		}
-	}
-}
--- a/internal/engine/scheduler/isolation.go
+++ b/internal/engine/scheduler/isolation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/blame"
+	"github.com/daisyfold/daisyfold/internal/engine/plan"
 )
 
 // maxIsolationWait is how long a suspect waits for a worker on which all other runs are proven.
@@ -52,14 +53,14 @@
 
 // exclusions returns sets of workers to leave out when placing the step, in the order in which
 // they are tried.
-func (t *term) exclusions(q readyStep, p *planningPass) []map[string]bool {
+func (t *term) exclusions(s *plan.Snapshot, q readyStep, p *planningPass) []map[string]bool {
 	var isolated map[string]bool
 	for key, holder := range p.isolated {
 		if holder != q.job {
 			isolated = with(isolated, key)
 		}
 	}
-	avoid := union(q.job.avoidedWorkers(p.slowWorkers), isolated)
+	avoid := union(p.avoidedWorkers(q.job), isolated)
 	if q.job.hasSuspects(q.step) {
 		sets := []map[string]bool{union(avoid, t.workersInUse(q.job, nil)), union(isolated, t.workersInUse(q.job, &p.now))}
 		if p.now-q.job.waitingSince[q.step] > maxIsolationWait {
@@ -70,7 +71,8 @@
 	if len(avoid) == len(isolated) {
 		return []map[string]bool{isolated}
 	}
-	return []map[string]bool{avoid, isolated}
+	sets := []map[string]bool{avoid, union(isolated, p.resting())}
+	return append(sets, p.lastChoices(s, q, isolated)...)
 }
 
 // workersInUse returns the workers with runs of other jobs; if provenBy is set, only those
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -22,11 +22,13 @@
 // other.
 const maxStartAttempts = 3
 
-// backOff keeps new runs from a worker for a time that grows with the number of failures.
+// refusalBackoff is the time for which a worker gets no new runs after it has refused a start.
+const refusalBackoff = 2 * time.Second
+
+// backOff keeps new runs from a worker for a while.
 func (t *term) backOff(w *worker, why string) {
-	backoff := min(minWorkerBackoff<<min(max(w.failures-failuresBeforeBackoff, 0), maxBackoffDoublings), maxWorkerBackoff)
-	w.backoffUntil = t.Now() + backoff
-	t.log.Warn("worker gets no new runs for a while", zap.String("worker", w.key), zap.String("why", why), zap.Int("failures", w.failures), zap.Duration("for", backoff))
+	w.backoffUntil = t.Now() + refusalBackoff
+	t.log.Warn("worker gets no new runs for a while", zap.String("worker", w.key), zap.String("why", why))
 }
 
 // start sends the start order of a planned run whose record is in the store.
@@ -153,7 +155,6 @@
 		delete(r.job.adviceFor(r.job.StepNumber(r.name.Task)).tickets, w.entry.ID)
 		delete(r.job.adviceFor(r.job.StepNumber(r.name.Task)).asked, w.entry.ID)
 	case workers.Unhealthy, workers.NotSent, workers.NoRoom:
-		w.failures++
 		t.backOff(w, why.String())
 	}
 	w.nextPollAt = t.Now()
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/daisyfold/daisyfold/internal/engine/health"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
@@ -56,8 +56,9 @@
 		return
 	}
 	t.nextPlanAt = min(t.nextPlanAt, now+replanInterval)
+	rests := t.rests(now)
 	snapshots := t.snapshots(now)
-	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), underused: map[*plan.Snapshot]bool{},
+	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), rests: rests, underused: map[*plan.Snapshot]bool{},
 		overGuarantee: over, victimPools: map[victimClass]*victimPool{}}
 	t.updateSuspects(p)
 	for _, s := range snapshots {
@@ -95,7 +96,9 @@
 			s = &plan.Snapshot{}
 			out[w.entry.Service] = s
 		}
-		s.Nodes = append(s.Nodes, w.node())
+		n := w.node()
+		n.ProbeOnly = w.resting
+		s.Nodes = append(s.Nodes, n)
 	}
 	return out
 }
@@ -179,6 +182,10 @@
 	now time.Duration
 	// slowWorkers get tasks only if no other worker can take them.
 	slowWorkers map[string]bool
+	// rests holds the workers that rest because runs fail there, by key, and probed those of them
+	// that have got a task in this pass.
+	rests  map[string]*health.Rest
+	probed map[string]bool
 	// underused marks services of which less than reservationMinUsedFraction is in use.
 	underused map[*plan.Snapshot]bool
 	// overGuarantee marks organisations whose urgent jobs need more than they are
@@ -221,8 +228,9 @@
 	if p.underused[s] && now-q.job.waitingSince[q.step] > maxReservationWait {
 		s.ReleaseReservations()
 	}
-	nodes := placeExcluding(s, q, request, t.exclusions(q, p))
+	nodes := placeExcluding(s, q, request, t.exclusions(s, q, p))
 	if len(nodes) > 0 {
+		p.noteProbes(nodes)
 		t.assign(q, nodes, now)
 		if q.job.hasSuspects(q.step) {
 			for _, n := range nodes {
@@ -280,20 +288,6 @@
 	return s.Place(request)
 }
 
-// avoidedWorkers returns the workers that get tasks of the job only if no other worker
-// can take them.
-func (j *job) avoidedWorkers(slow map[string]bool) map[string]bool {
-	switch {
-	case len(j.failedWorkers) == 0:
-		return slow
-	case len(slow) == 0:
-		return j.failedWorkers
-	}
-	avoid := maps.Clone(j.failedWorkers)
-	maps.Copy(avoid, slow)
-	return avoid
-}
-
 // assign assigns the waiting tasks to the workers in order, and starts them once the
 // assignment is recorded.
 func (t *term) assign(q readyStep, nodes []*plan.Node, now time.Duration) {
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -62,12 +62,14 @@
 	}
 	delete(q.job.claims, q.step)
 	pool := t.victimPool(s, q, p)
+	s.Exclude(p.resting())
 	preemption := s.Preempt(request, pool.set)
 	// Tasks that need not start together get resources for as many as preemption allows.
 	for part := *request; preemption == nil && !part.Step.Gang && part.Tasks > 1; {
 		part.Tasks /= 2
 		preemption = s.Preempt(&part, pool.set)
 	}
+	s.RestoreExcluded()
 	if preemption == nil {
 		return false
 	}
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/daisyfold/daisyfold/internal/engine/health"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
@@ -25,9 +26,8 @@
 	advice map[int]*advice
 	// claims are the resources that preemption is freeing, by step.
 	claims map[int]claim
-	// failedWorkers are workers on which runs of the job have failed. Further attempts
-	// prefer other workers.
-	failedWorkers map[string]bool
+	// health holds where runs of the job have failed. Further attempts prefer other workers.
+	health health.Job
 	// moves counts how often a task was moved off a slow worker; a gang counts under its
 	// first task.
 	moves map[work.TaskName]int
@@ -179,10 +179,12 @@
 	endsSeen, endsRecorded, endsAcked int64
 	// stoppingRuns counts the runs that are to be stopped.
 	stoppingRuns int
-	// backoffUntil is the time until which the worker gets no new runs. It grows with the
-	// number of consecutive failures.
+	// backoffUntil is the time until which the worker gets no new runs because it refused one.
 	backoffUntil time.Duration
-	failures     int
+	// health holds the failures of runs on the worker. While it rests because of them, other
+	// workers are preferred; resting is the state at the last planning pass.
+	health  health.Worker
+	resting bool
 	// inUpkeep reports whether the worker's machine is being drained or is down for its
 	// upkeep.
 	inUpkeep bool
