Count a failed run of a gang once, however many members fail

Cause: abortGang counted each member that ended failed as a failed run of the gang. A gang with members on several failing workers was given up after its first run; a change of owner between the members' ends counted as well.

Change: the state of the step records the number of the last run that was counted; further failures of that run count no more.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -84,6 +84,8 @@
 	staleEntries bool
 	// endsPageSize is the largest number of ends in a worker's report; 0 means the platform's.
 	endsPageSize int
+	// gangBreakTime is the time until the members of a gang notice that another one has failed.
+	gangBreakTime time.Duration
 	// orderTime is the time that a worker needs for an order.
 	orderTime time.Duration
 }
@@ -98,7 +100,7 @@
 	c := &cluster{t: t, store: s, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
 	c.fleet = standin.NewFleet(standin.FleetOptions{
 		MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
-		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries, EndsPageSize: o.endsPageSize, OrderTime: o.orderTime,
+		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries, EndsPageSize: o.endsPageSize, OrderTime: o.orderTime, GangBreakTime: o.gangBreakTime,
 	}, s)
 	c.advisor, c.machines = c.fleet.Advisor(), c.fleet.Machines(maxDownPerWave)
 	for i := range o.workers {
--- a/internal/engine/scheduler/endings.go
+++ b/internal/engine/scheduler/endings.go
@@ -71,8 +71,8 @@
 	if r.checkpoint != "" && r.step().SavesProgress {
 		step.Checkpoint = task.Checkpoint
 	}
-	if ending == workers.EndedFailed {
-		step.Failures++
+	if ending == workers.EndedFailed && r.name.Number > step.FailedRun { // several members may fail in a run
+		step.Failures, step.FailedRun = step.Failures+1, r.name.Number
 	}
 	t.stopGang(r)
 	if ending == workers.EndedFailed {
--- a/internal/engine/work/state.go
+++ b/internal/engine/work/state.go
@@ -53,6 +53,7 @@
 // StepState is the state of one step.
 type StepState struct {
 	Failures   int         `json:"f,omitempty"` // failed runs of a gang
+	FailedRun  int         `json:"g,omitempty"` // number of the last run that Failures counts
 	Checkpoint string      `json:"c,omitempty"` // latest checkpoint of a gang
 	Tasks      []TaskState `json:"t"`
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -41,6 +41,9 @@
 	EndsPageSize int
 	// OrderTime is the time that a worker needs for an order. Orders wait for earlier ones.
 	OrderTime time.Duration
+	// GangBreakTime is the time until the members of a gang notice that another one has failed.
+	// Until then they may fail as well.
+	GangBreakTime time.Duration
 	// StaleEntries keeps the entries of workers unchanged while the store is unavailable.
 	StaleEntries bool
 	// NewIDAfterCrash gives workers a new id when they restart after a crash that a task
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -221,8 +221,21 @@
 	if ending == workers.EndedDone.String() {
 		memberEnding = workers.EndedDone
 	}
+	if f := w.fleet; f.GangBreakTime > 0 && ending == workers.EndedFailed.String() {
+		time.AfterFunc(f.GangBreakTime, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			g.endMembers(memberEnding)
+		})
+		return
+	}
+	g.endMembers(memberEnding)
+}
+
+// endMembers ends the members that still run. The caller holds the lock.
+func (g *gang) endMembers(ending workers.Ending) {
 	for _, m := range g.members {
-		m.worker.endRun(m, memberEnding)
+		m.worker.endRun(m, ending)
 	}
 }
 
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -25,6 +25,7 @@
 	"cut":     cutCase,
 	"backoff": backoffCase,
 	"deadly":  deadlyCase,
+	"gang":    gangCase,
 }
 
 func main() {
