Reserve for gangs what will be free within a minute

Cause: a gang that waits reserved all that was free on the workers that could hold it if they were empty. Beside long-running tasks they never are, so a third of the accelerators was kept from everyone for as long as the gang waited.

Change: plan.Reserve knows when runs are expected to end. It keeps what the gang needs at the first time, up to a minute, at which it is expected to fit, and nothing if there is none. Tasks that fit beside the gang or are expected to end before pass; long-running tasks wait 1.5 s at most.

Measured: TestGangThatCannotFitDoesNotWithholdFreeResources and TestReservationLetsShorterWorkPass fail before the change and hold after it.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -28,6 +28,10 @@
 	// ProbeOnly reports whether a request gets at most one task on the worker. Gangs are
 	// exempt, because their tasks start together.
 	ProbeOnly bool
+	// Releases are the resources that will be free when runs end.
+	Releases []Release
+	// promised is the part of Releases that is reserved.
+	promised work.Resources
 	// Slower reports whether tasks take longer on the worker than on others.
 	Slower bool
 }
@@ -124,9 +128,9 @@
 // Snapshot is the set of workers of one service.
 type Snapshot struct {
 	Nodes []*Node
-	// excluded holds the free resources that Exclude hides, and reserved the resources
-	// that Reserve took, by worker.
-	excluded, reserved map[*Node]work.Resources
+	// excluded holds the free resources that Exclude hides, by worker.
+	excluded     map[*Node]work.Resources
+	reservations []reservation
 	// racksOf holds the result of racks for the first rackedNodes workers.
 	racksOf     [][]*Node
 	rackedNodes int
@@ -148,14 +152,6 @@
 	return 0
 }
 
-// ReleaseReservations frees the resources that Reserve took.
-func (s *Snapshot) ReleaseReservations() {
-	for n, d := range s.reserved {
-		n.Free = n.Free.Plus(d)
-	}
-	s.reserved = nil
-}
-
 // Exclude keeps the workers with the given keys from getting tasks until RestoreExcluded
 // is called.
 func (s *Snapshot) Exclude(keys map[string]bool) {
@@ -305,51 +301,3 @@
 	}
 	return 1
 }
-
-// Reserve takes the free resources of workers that the request is waiting for, so that
-// smaller tasks cannot starve it. It returns these workers.
-func (s *Snapshot) Reserve(req *Request) []*Node {
-	nodes := s.gangNodes(req, (*Node).usualCapacity)
-	if nodes == nil {
-		return nil
-	}
-	if req.Step.SameRack && !req.AnyRack {
-		nodes = s.rackWithMostFreeSlots(req)
-	}
-	ordered := slices.Clone(nodes)
-	slices.SortStableFunc(ordered, func(x, y *Node) int { return cmp.Compare(y.Free.CPU, x.Free.CPU) })
-	remaining := req.Tasks
-	var reserved []*Node
-	for _, n := range ordered {
-		k := min(req.slots(n, n.usualCapacity()), remaining)
-		if k == 0 {
-			continue
-		}
-		remaining -= k
-		taken := req.Step.Demand.Times(k)
-		n.Free = n.Free.Minus(taken)
-		if s.reserved == nil {
-			s.reserved = map[*Node]work.Resources{}
-		}
-		s.reserved[n] = s.reserved[n].Plus(taken)
-		reserved = append(reserved, n)
-	}
-	return reserved
-}
-
-// rackWithMostFreeSlots returns, of the racks that could hold the whole gang if they were
-// empty, the one with the most free slots.
-func (s *Snapshot) rackWithMostFreeSlots(req *Request) []*Node {
-	var best []*Node
-	bestFree := -1
-	for _, rack := range s.racks() {
-		if totalSlots(req, rack, (*Node).usualCapacity) < req.Tasks {
-			continue
-		}
-		free := totalSlots(req, rack, func(n *Node) work.Resources { return n.Free })
-		if free > bestFree {
-			best, bestFree = rack, free
-		}
-	}
-	return best
-}
--- a/internal/engine/rest_test.go
+++ b/internal/engine/rest_test.go
@@ -90,3 +90,46 @@
 		t.Logf("%d runs failed", c.fleet.Ledger().Count("failed"))
 	})
 }
+
+// TestGangThatCannotFitDoesNotWithholdFreeResources guards against a gang that waits beside long-running tasks and keeps what is free from others.
+func TestGangThatCannotFitDoesNotWithholdFreeResources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workerCount = 12
+		c := newCluster(t, clusterOptions{hosts: 2, workers: workerCount})
+		defer c.close()
+		lasting := newJob(1, work.Step{Tasks: workerCount, Demand: work.Resources{CPU: 40_000, MemoryMB: 65_536, Accelerators: 5}, LongRunning: true, MaxPerWorker: 1})
+		c.submit("urgent", lasting, standin.Behaviour{})
+		c.awaitRunning(lasting, workerCount, maxStartDelay)
+		gang := newJob(2, work.Step{Tasks: workerCount, Demand: largeTask, EstimateMS: 5000, Gang: true})
+		c.submit("normal", gang, standin.Behaviour{Work: 5 * time.Second})
+		time.Sleep(2 * time.Second)
+		small := newJob(3, work.Step{Tasks: 1, Demand: smallTask, LongRunning: true})
+		c.submitWithKey("guest-key", "batch", small, standin.Behaviour{})
+		c.awaitRunning(small, 1, maxStartDelay)
+		brief := newJob(4, work.Step{Tasks: 4, Demand: smallTask, EstimateMS: 1000})
+		c.submitWithKey("guest-key", "batch", brief, standin.Behaviour{Work: time.Second})
+		c.awaitStatus(brief.ID, work.Completed, maxStartDelay+time.Second)
+	})
+}
+
+// TestReservationLetsShorterWorkPass guards against a reserved worker that stays empty while the gang waits for the end of longer work.
+func TestReservationLetsShorterWorkPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workerCount = 4
+		c := newCluster(t, clusterOptions{hosts: 2, workers: workerCount})
+		defer c.close()
+		long := newJob(1, work.Step{Tasks: workerCount - 1, Demand: largeTask, EstimateMS: 20_000})
+		c.submit("normal", long, standin.Behaviour{Work: 20 * time.Second})
+		time.Sleep(time.Second)
+		gang := newJob(2, work.Step{Tasks: workerCount, Demand: largeTask, EstimateMS: 2000, Gang: true})
+		c.submit("normal", gang, standin.Behaviour{Work: 2 * time.Second})
+		time.Sleep(time.Second)
+		brief := newJob(3, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 2000})
+		c.submit("batch", brief, standin.Behaviour{Work: 2 * time.Second})
+		c.awaitStatus(brief.ID, work.Completed, 5*time.Second)
+		// Work that is longer than the gang waits must not pass.
+		slow := newJob(4, work.Step{Tasks: 4, Demand: smallTask, EstimateMS: 25_000})
+		c.submit("batch", slow, standin.Behaviour{Work: 25 * time.Second})
+		c.awaitStatus(gang.ID, work.Completed, 21*time.Second)
+	})
+}
--- a/internal/engine/scheduler/drain.go
+++ b/internal/engine/scheduler/drain.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/daisyfold/daisyfold/internal/engine/plan"
 )
 
 const (
@@ -73,6 +75,26 @@
 	return remaining, margin
 }
 
+// releases returns when the resources of the worker's runs are expected to be free. A run of
+// unknown speed is expected to last for half as long again as it has, whatever its estimate.
+func (w *worker) releases(now time.Duration) []plan.Release {
+	out := make([]plan.Release, 0, len(w.runs))
+	for _, r := range w.runs {
+		release := plan.Release{Resources: r.demand}
+		switch {
+		case r.stopping || r.job == nil:
+		case r.startedAt == 0 && !r.step().LongRunning:
+			release.In = time.Duration(r.step().EstimateMS) * time.Millisecond
+		case r.speed.last <= 0:
+			release.In = max(r.remainingTime(now), (now-r.startedAt)/2)
+		default:
+			release.In = r.remainingTime(now)
+		}
+		out = append(out, release)
+	}
+	return out
+}
+
 // remainingTime returns the remaining time of a run by its speed, or by the estimate of
 // its step while no speed is known.
 func (r *run) remainingTime(now time.Duration) time.Duration {
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -24,6 +24,8 @@
 	// than reservationMinUsedFraction of the resources is in use. The platform expects a
 	// start within 3 s in that case.
 	maxReservationWait = 1500 * time.Millisecond
+	// minLiftTime is the shortest time that tasks are assumed to take.
+	minLiftTime = 500 * time.Millisecond
 	// preferredRackTimeout is the time after which a step no longer waits for its
 	// preferred rack.
 	preferredRackTimeout = 1500 * time.Millisecond
@@ -97,7 +99,7 @@
 			out[w.entry.Service] = s
 		}
 		n := w.node()
-		n.ProbeOnly = w.resting
+		n.ProbeOnly, n.Releases = w.resting, w.releases(now)
 		s.Nodes = append(s.Nodes, n)
 	}
 	return out
@@ -215,20 +217,23 @@
 func (t *term) placeStep(s *plan.Snapshot, q readyStep, p *planningPass) {
 	now := p.now
 	step, request := q.job.StepAt(q.step), q.request()
+	waited := now - q.job.waitingSince[q.step]
 	s.ReleaseClaims(request, q.job.activeClaims(q.step, now))
 	if q.job.NeedsAdvice {
 		request.Allowed = t.workersNotDenied(s, q)
 	}
-	if !s.FitsWhenEmpty(request) || (step.PreferredRack != "" && now-q.job.waitingSince[q.step] > preferredRackTimeout) {
+	if !s.FitsWhenEmpty(request) || (waited > preferredRackTimeout && (step.PreferredRack != "" || (step.Gang && !s.FitsEventually(request)))) {
 		request.AnyRack = true
 	}
 	if q.job.NeedsAdvice {
 		request.Allowed = t.workersWithTicket(q.job, q.step, now)
 	}
-	if p.underused[s] && now-q.job.waitingSince[q.step] > maxReservationWait {
+	if p.underused[s] && waited > maxReservationWait {
 		s.ReleaseReservations()
 	}
+	restore := s.Lift(q.liftTime(waited))
 	nodes := placeExcluding(s, q, request, t.exclusions(s, q, p))
+	restore()
 	if len(nodes) > 0 {
 		p.noteProbes(nodes)
 		t.assign(q, nodes, now)
@@ -261,6 +266,19 @@
 	}
 }
 
+// liftTime returns the time from which reservations for others do not concern the step: that of
+// its tasks. Long-running tasks wait for reservations no longer than maxReservationWait.
+func (q readyStep) liftTime(waited time.Duration) time.Duration {
+	step := q.job.StepAt(q.step)
+	switch {
+	case !step.LongRunning:
+		return max(time.Duration(step.EstimateMS)*time.Millisecond, minLiftTime)
+	case waited > maxReservationWait:
+		return 0
+	}
+	return longRunningRemaining
+}
+
 // placeExcluding places the request without the first set of workers that leaves room for a
 // task or a gang.
 func placeExcluding(s *plan.Snapshot, q readyStep, request *plan.Request, exclusions []map[string]bool) []*plan.Node {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,12 +20,13 @@
 
 // cases are the scripts of the review. Each returns whether the rule was broken.
 var cases = map[string]func(r *Record, trouble bool) bool{
-	"record":  recordCase,
-	"ends":    endsCase,
-	"cut":     cutCase,
-	"backoff": backoffCase,
-	"deadly":  deadlyCase,
-	"gang":    gangCase,
+	"record":      recordCase,
+	"ends":        endsCase,
+	"cut":         cutCase,
+	"backoff":     backoffCase,
+	"deadly":      deadlyCase,
+	"reservation": reservationCase,
+	"gang":        gangCase,
 }
 
 func main() {
