--- a/internal/engine/health/health.go
+++ b/internal/engine/health/health.go
@@ -17,7 +17,7 @@
 	// that works elsewhere, from which the worker rests.
 	minEvidence = 2
 	// minWorkersOfFailingJob is the number of workers on which a job that works nowhere has
-	// failed, from which its failures say nothing of them.
+	// failed, from which its failures say nothing of them. Fewer suffice if there are no more.
 	minWorkersOfFailingJob = 3
 	// maxFailureAge is the age from which a failure says nothing of the worker as it is now.
 	maxFailureAge = 30 * time.Second
@@ -81,11 +81,11 @@
 func (j *Job) FailedOn() map[string]bool { return j.failedOn }
 
 // View returns what the job says of a worker; working holds the workers on which the job has
-// a run that has worked for longer than the failing ones.
-func (j *Job) View(worker string, working map[string]bool) JobView {
+// a run that has worked for longer than the failing ones, and count is the number of workers.
+func (j *Job) View(worker string, working map[string]bool, count int) JobView {
 	elsewhere := func(set map[string]bool) bool { return len(set) > 1 || (len(set) == 1 && !set[worker]) }
 	return JobView{
-		FailsEverywhere: len(j.failedOn) >= minWorkersOfFailingJob && len(j.doneOn) == 0 && len(working) == 0,
+		FailsEverywhere: len(j.failedOn) >= min(minWorkersOfFailingJob, count) && len(j.doneOn) == 0 && len(working) == 0,
 		WorksElsewhere:  elsewhere(j.doneOn) || elsewhere(working),
 	}
 }
--- a/internal/engine/health/health_test.go
+++ b/internal/engine/health/health_test.go
@@ -127,22 +127,25 @@
 func TestJobThatFailsEverywhere(t *testing.T) {
 	j := &Job{}
 	j.AddFailure("a", 100*ms)
-	if v := j.View("a", nil); v.FailsEverywhere || v.WorksElsewhere {
+	if v := j.View("a", nil, 4); v.FailsEverywhere || v.WorksElsewhere {
 		t.Errorf("after one worker: %+v", v)
 	}
 	j.AddFailure("b", 1500*ms)
+	if v := j.View("a", nil, 2); !v.FailsEverywhere {
+		t.Errorf("after both of two workers: %+v", v)
+	}
 	j.AddFailure("e", 100*ms)
-	if v := j.View("a", nil); !v.FailsEverywhere {
+	if v := j.View("a", nil, 4); !v.FailsEverywhere {
 		t.Errorf("after three workers: %+v", v)
 	}
-	if v := j.View("a", map[string]bool{"c": true}); v.FailsEverywhere || !v.WorksElsewhere {
+	if v := j.View("a", map[string]bool{"c": true}, 4); v.FailsEverywhere || !v.WorksElsewhere {
 		t.Errorf("with a run that works: %+v", v)
 	}
-	if v := j.View("a", map[string]bool{"a": true}); v.FailsEverywhere || v.WorksElsewhere {
+	if v := j.View("a", map[string]bool{"a": true}, 4); v.FailsEverywhere || v.WorksElsewhere {
 		t.Errorf("with a run that works on the worker itself: %+v", v)
 	}
 	j.AddDone("d")
-	if v := j.View("a", nil); v.FailsEverywhere || !v.WorksElsewhere {
+	if v := j.View("a", nil, 4); v.FailsEverywhere || !v.WorksElsewhere {
 		t.Errorf("after a run that is done: %+v", v)
 	}
 	if j.LongestFailure != 1500*ms || !j.FailedOn()["b"] {
--- a/internal/engine/scheduler/rest.go
+++ b/internal/engine/scheduler/rest.go
@@ -41,6 +41,12 @@
 func (t *term) rests(now time.Duration) map[string]*health.Rest {
 	var out map[string]*health.Rest
 	views := map[string]map[string]bool{}
+	count := map[string]int{} // workers by service
+	for _, w := range t.workers {
+		if w.listed && !w.dead {
+			count[w.entry.Service]++
+		}
+	}
 	for key, w := range t.workers {
 		if !w.health.HasFailures() || w.dead {
 			w.resting = false
@@ -48,7 +54,7 @@
 		}
 		runs := w.observedRuns()
 		w.health.Update(runs, now)
-		rest := w.health.Rest(runs, now, func(id string) health.JobView { return t.jobView(id, key, views, now) })
+		rest := w.health.Rest(runs, now, func(id string) health.JobView { return t.jobView(id, w, views, count[w.entry.Service], now) })
 		if resting := rest != nil; resting != w.resting {
 			w.resting = resting
 			t.log.Warn("a worker on which runs fail changes its state", zap.String("worker", key), zap.Bool("rests", resting))
@@ -64,7 +70,7 @@
 }
 
 // jobView returns what the job says of a worker; working caches where each job works.
-func (t *term) jobView(id, worker string, working map[string]map[string]bool, now time.Duration) health.JobView {
+func (t *term) jobView(id string, w *worker, working map[string]map[string]bool, count int, now time.Duration) health.JobView {
 	j := t.jobs[id]
 	if j == nil {
 		return health.JobView{}
@@ -72,7 +78,7 @@
 	if _, known := working[id]; !known {
 		working[id] = j.workingOn(now)
 	}
-	return j.health.View(worker, working[id])
+	return j.health.View(w.key, working[id], count)
 }
 
 // workingOn returns the workers with runs of the job that have worked for longer than its
