--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -92,6 +92,8 @@
 	staleEntries bool
 	// endsPageSize is the largest number of ends in a worker's report; 0 means the platform's.
 	endsPageSize int
+	// gangBreakTime is the time until the members of a gang notice that another one has failed.
+	gangBreakTime time.Duration
 	// orderTime is the time that a worker needs for an order.
 	orderTime time.Duration
 	// limits are the store's limits according to the settings; none means those that it has.
@@ -113,7 +115,7 @@
 	c := &cluster{t: t, store: s, limits: o.limits, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, platformFormat: o.platformFormat, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
 	fleetOptions := standin.FleetOptions{
 		MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
-		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries, EndsPageSize: o.endsPageSize, OrderTime: o.orderTime,
+		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries, EndsPageSize: o.endsPageSize, OrderTime: o.orderTime, GangBreakTime: o.gangBreakTime,
 	}
 	if o.platformFormat {
 		fleetOptions.EncodeEntry = platformtest.EncodeWorkerEntry
--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -25,10 +25,26 @@
 	// Overcommitted reports whether the tasks on the worker exceed its capacity, because it
 	// was reduced. It gets no task, not even one that needs none of the resource in question.
 	Overcommitted bool
+	// ProbeOnly reports whether a request gets at most one task on the worker. Gangs are
+	// exempt, because their tasks start together.
+	ProbeOnly bool
+	// Releases are the resources that will be free when runs end.
+	Releases []Release
+	// promised is the part of Releases that is reserved.
+	promised work.Resources
 	// Slower reports whether tasks take longer on the worker than on others.
 	Slower bool
 }
 
+// usualCapacity returns the resources that tasks may use once the worker is empty: none while
+// it is only probed.
+func (n *Node) usualCapacity() work.Resources {
+	if n.ProbeOnly {
+		return work.Resources{}
+	}
+	return n.Capacity
+}
+
 // StepKey identifies a step of a job.
 type StepKey struct {
 	Job  string
@@ -79,6 +95,9 @@
 	if limit := req.Step.MaxPerWorker; limit > 0 {
 		count = min(count, limit-n.StepTasks[req.Key])
 	}
+	if n.ProbeOnly && !req.Step.Gang {
+		count = min(count, 1)
+	}
 	return max(count, 0)
 }
 
@@ -109,9 +128,9 @@
 // Snapshot is the set of workers of one service.
 type Snapshot struct {
 	Nodes []*Node
-	// excluded holds the free resources that Exclude hides, and reserved the resources
-	// that Reserve took, by worker.
-	excluded, reserved map[*Node]work.Resources
+	// excluded holds the free resources that Exclude hides, by worker.
+	excluded     map[*Node]work.Resources
+	reservations []reservation
 	// racksOf holds the result of racks for the first rackedNodes workers.
 	racksOf     [][]*Node
 	rackedNodes int
@@ -133,14 +152,6 @@
 	return 0
 }
 
-// ReleaseReservations frees the resources that Reserve took.
-func (s *Snapshot) ReleaseReservations() {
-	for n, d := range s.reserved {
-		n.Free = n.Free.Plus(d)
-	}
-	s.reserved = nil
-}
-
 // Exclude keeps the workers with the given keys from getting tasks until RestoreExcluded
 // is called.
 func (s *Snapshot) Exclude(keys map[string]bool) {
@@ -199,12 +210,11 @@
 // FitsWhenEmpty reports whether the request would fit on the workers if nothing ran
 // there: all tasks of a gang, or at least one task of any other request.
 func (s *Snapshot) FitsWhenEmpty(req *Request) bool {
-	capacity := func(n *Node) work.Resources { return n.Capacity }
 	if req.Step.Gang {
-		return s.gangNodes(req, capacity) != nil
+		return s.gangNodes(req, (*Node).usualCapacity) != nil
 	}
 	for _, n := range s.Nodes {
-		if req.slots(n, n.Capacity) > 0 {
+		if req.slots(n, n.usualCapacity()) > 0 {
 			return true
 		}
 	}
@@ -296,51 +306,3 @@
 	}
 	return 1
 }
-
-// Reserve takes the free resources of workers that the request is waiting for, so that
-// smaller tasks cannot starve it. It returns these workers.
-func (s *Snapshot) Reserve(req *Request) []*Node {
-	nodes := s.gangNodes(req, func(n *Node) work.Resources { return n.Capacity })
-	if nodes == nil {
-		return nil
-	}
-	if req.Step.SameRack && !req.AnyRack {
-		nodes = s.rackWithMostFreeSlots(req)
-	}
-	ordered := slices.Clone(nodes)
-	slices.SortStableFunc(ordered, func(x, y *Node) int { return cmp.Compare(y.Free.CPU, x.Free.CPU) })
-	remaining := req.Tasks
-	var reserved []*Node
-	for _, n := range ordered {
-		k := min(req.slots(n, n.Capacity), remaining)
-		if k == 0 {
-			continue
-		}
-		remaining -= k
-		taken := req.Step.Demand.Times(k)
-		n.Free = n.Free.Minus(taken)
-		if s.reserved == nil {
-			s.reserved = map[*Node]work.Resources{}
-		}
-		s.reserved[n] = s.reserved[n].Plus(taken)
-		reserved = append(reserved, n)
-	}
-	return reserved
-}
-
-// rackWithMostFreeSlots returns, of the racks that could hold the whole gang if they were
-// empty, the one with the most free slots.
-func (s *Snapshot) rackWithMostFreeSlots(req *Request) []*Node {
-	var best []*Node
-	bestFree := -1
-	for _, rack := range s.racks() {
-		if totalSlots(req, rack, func(n *Node) work.Resources { return n.Capacity }) < req.Tasks {
-			continue
-		}
-		free := totalSlots(req, rack, func(n *Node) work.Resources { return n.Free })
-		if free > bestFree {
-			best, bestFree = rack, free
-		}
-	}
-	return best
-}
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/daisyfold/daisyfold/internal/engine/health"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
@@ -24,6 +24,8 @@
 	// than reservationMinUsedFraction of the resources is in use. The platform expects a
 	// start within 3 s in that case.
 	maxReservationWait = 1500 * time.Millisecond
+	// minLiftTime is the shortest time that tasks are assumed to take.
+	minLiftTime = 500 * time.Millisecond
 	// preferredRackTimeout is the time after which a step no longer waits for its
 	// preferred rack.
 	preferredRackTimeout = 1500 * time.Millisecond
@@ -65,8 +67,9 @@
 		return
 	}
 	t.nextPlanAt = min(t.nextPlanAt, now+replanInterval)
+	rests := t.rests(now)
 	snapshots := t.snapshots(now)
-	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), underused: map[*plan.Snapshot]bool{},
+	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), rests: rests, underused: map[*plan.Snapshot]bool{},
 		overGuarantee: over, victimPools: map[victimClass]*victimPool{}}
 	t.updateSuspects(p)
 	for _, s := range snapshots {
@@ -104,7 +107,9 @@
 			s = &plan.Snapshot{}
 			out[w.entry.Service] = s
 		}
-		s.Nodes = append(s.Nodes, w.node())
+		n := w.node()
+		n.ProbeOnly, n.Releases = w.resting, w.releases(now)
+		s.Nodes = append(s.Nodes, n)
 	}
 	return out
 }
@@ -188,6 +193,10 @@
 	now time.Duration
 	// slowWorkers get tasks only if no other worker can take them.
 	slowWorkers map[string]bool
+	// rests holds the workers that rest because runs fail there, by key, and probed those of them
+	// that have got a task in this pass.
+	rests  map[string]*health.Rest
+	probed map[string]bool
 	// underused marks services of which less than reservationMinUsedFraction is in use.
 	underused map[*plan.Snapshot]bool
 	// overGuarantee marks organisations whose urgent jobs need more than they are
@@ -217,26 +226,30 @@
 func (t *term) placeStep(s *plan.Snapshot, q readyStep, p *planningPass) {
 	now := p.now
 	step, request := q.job.StepAt(q.step), q.request()
+	waited := now - q.job.waitingSince[q.step]
 	s.ReleaseClaims(request, q.job.activeClaims(q.step, now))
 	if q.job.NeedsAdvice {
 		request.Allowed = t.workersNotDenied(s, q)
 	}
-	if !s.FitsWhenEmpty(request) || (step.PreferredRack != "" && now-q.job.waitingSince[q.step] > preferredRackTimeout) {
+	if !s.FitsWhenEmpty(request) || (waited > preferredRackTimeout && (step.PreferredRack != "" || (step.Gang && !s.FitsEventually(request)))) {
 		request.AnyRack = true
 	}
 	if q.job.NeedsAdvice {
 		request.Allowed = t.workersWithTicket(q.job, q.step, now)
 	}
-	if p.underused[s] && now-q.job.waitingSince[q.step] > maxReservationWait {
+	if p.underused[s] && waited > maxReservationWait {
 		s.ReleaseReservations()
 	}
-	exclusions := t.exclusions(q, p)
+	exclusions := t.exclusions(s, q, p)
+	restore := s.Lift(q.liftTime(waited))
 	nodes := placeExcluding(s, q, request, exclusions)
 	if len(nodes) == 0 && t.maySpread(s, q, request, p) {
 		request.AnyRack = true
 		nodes = placeExcluding(s, q, request, exclusions)
 	}
+	restore()
 	if len(nodes) > 0 {
+		p.noteProbes(nodes)
 		t.assign(q, nodes, now)
 		if q.job.hasSuspects(q.step) {
 			for _, n := range nodes {
@@ -295,6 +308,19 @@
 	return min(max(spreadingCost*time.Duration(step.EstimateMS)*time.Millisecond, minRackTimeout), maxRackTimeout)
 }
 
+// liftTime returns the time from which reservations for others do not concern the step: that of
+// its tasks. Long-running tasks wait for reservations no longer than maxReservationWait.
+func (q readyStep) liftTime(waited time.Duration) time.Duration {
+	step := q.job.StepAt(q.step)
+	switch {
+	case !step.LongRunning:
+		return max(time.Duration(step.EstimateMS)*time.Millisecond, minLiftTime)
+	case waited > maxReservationWait:
+		return 0
+	}
+	return longRunningRemaining
+}
+
 // placeExcluding places the request without the first set of workers that leaves room for a
 // task or a gang.
 func placeExcluding(s *plan.Snapshot, q readyStep, request *plan.Request, exclusions []map[string]bool) []*plan.Node {
@@ -322,20 +348,6 @@
 	return s.Place(request)
 }
 
-// avoidedWorkers returns the workers that get tasks of the job only if no other worker
-// can take them.
-func (j *job) avoidedWorkers(slow map[string]bool) map[string]bool {
-	switch {
-	case len(j.failedWorkers) == 0:
-		return slow
-	case len(slow) == 0:
-		return j.failedWorkers
-	}
-	avoid := maps.Clone(j.failedWorkers)
-	maps.Copy(avoid, slow)
-	return avoid
-}
-
 // assign assigns the waiting tasks to the workers in order, and starts them once the
 // assignment is recorded.
 func (t *term) assign(q readyStep, nodes []*plan.Node, now time.Duration) {
