Publish the end of a job whose record the store rejected once

failRejected records the state of a job that has already ended again, but did not publish its status. Callers saw the job as running until the next takeover. TestRejectedEndIsVisible fails without the change.

--- a/internal/engine/scheduler/rejections.go
+++ b/internal/engine/scheduler/rejections.go
@@ -61,10 +61,9 @@
 			return
 		}
 		j.recorded = chunks
-		if j.state.Status.Ended() {
-			return
+		if !j.state.Status.Ended() {
+			t.finish(j, work.Failed, "the store rejects its state: "+cause.Error())
 		}
-		t.finish(j, work.Failed, "the store rejects its state: "+cause.Error())
 		t.publishStatus(j)
 	})
 }
