--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -183,6 +183,8 @@
 		return trace.BadParameter("step %d has a negative demand", i)
 	case max(d.CPU, d.MemoryMB, d.Accelerators) > maxDemand:
 		return trace.BadParameter("the demand of step %d is too large", i)
+	case s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
+		return trace.BadParameter("step %d has a negative limit", i)
 	case s.EstimateMS < 0 || s.EstimateMS > maxEstimateMS:
 		return trace.BadParameter("the estimate of step %d is negative or too large", i)
 	}
