--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -136,7 +136,9 @@
 	e.followers = []*replica.Follower{operator, submissions, statuses}
 	e.elector = tenure.New(tenure.Options{
 		Store: o.Store, Host: o.Host, Incarnation: o.WallClock().UnixNano(), CPUShare: o.CPUShare,
-		TTL: max(membershipTTL, o.MinMembershipTTL), Owner: e.Jobs.Owner, OwnerOffset: e.Jobs.OwnerOffset, Staleness: statuses.Staleness, Refresh: statuses.SharedSync, Now: o.Now, WallClock: o.WallClock, Logger: partLogger("tenure"),
+		TTL: max(membershipTTL, o.MinMembershipTTL), Owner: e.Jobs.Owner, OwnerOffset: e.Jobs.OwnerOffset,
+		Staleness: statuses.Staleness, Refresh: statuses.SharedSync,
+		Now: o.Now, WallClock: o.WallClock, Logger: partLogger("tenure"),
 	})
 	e.scheduler = scheduler.New(scheduler.Options{
 		Store: o.Store, Workers: o.Workers, Advisor: o.Advisor, Machines: o.Machines,
--- a/internal/engine/host/shutdown.go
+++ b/internal/engine/host/shutdown.go
@@ -17,13 +17,18 @@
 	// platform kills the process, waiting requests get their final response. It is shorter
 	// if the grace period is. It allows for a host without processor time, which notices
 	// the signal late.
-	shutdownMargin          = 1500 * time.Millisecond
-	minGracePerMargin       = 4 // shortest grace period as a multiple of the margin
-	refuseMarginFraction    = 1.5
-	closeIdleMarginFraction = 0.88
-	cutMarginFraction       = 0.8
-	endMarginFraction       = 0.6
-	maxDeregistrationShare  = 0.5 // of the grace period
+	shutdownMargin         = 1500 * time.Millisecond
+	minGracePerMargin      = 4   // shortest grace period as a multiple of the margin
+	maxDeregistrationShare = 0.5 // of the grace period
+)
+
+// Deadlines of a drain, as the time until the end of the grace period in multiples of the
+// margin; waiting requests get their final response at 1.
+const (
+	refuseMarginFraction    = 1.5  // new requests are refused
+	closeIdleMarginFraction = 0.88 // idle connections are closed
+	cutMarginFraction       = 0.8  // all other connections are closed
+	endMarginFraction       = 0.6  // the process ends
 )
 
 // shutdownDeadlines returns the deadlines of a drain that begins at start and must end
--- a/internal/engine/replica/follower.go
+++ b/internal/engine/replica/follower.go
@@ -83,12 +83,11 @@
 	gap, gapEnd, lastReadAt time.Duration
 	// throttleDelay is added to the read interval after refused reads.
 	throttleDelay time.Duration
-	synced        chan struct{} // closed and replaced whenever syncedAt advances
 }
 
 // NewFollower returns a follower, which starts to copy the topic in Run.
 func NewFollower(o Options) *Follower {
-	return &Follower{Options: o, syncing: make(chan struct{}, 1), loading: make(chan struct{}, 1), synced: make(chan struct{})}
+	return &Follower{Options: o, syncing: make(chan struct{}, 1), loading: make(chan struct{}, 1)}
 }
 
 // Staleness returns how long ago the copy was last known to be complete. ok is false
@@ -331,28 +330,5 @@
 	}
 	if f.nextOffset >= end && sent > f.syncedAt {
 		f.syncedAt = sent
-		close(f.synced)
-		f.synced = make(chan struct{})
-	}
-}
-
-// WaitForOffset waits until the copy contains all records before the offset.
-func (f *Follower) WaitForOffset(ctx context.Context, offset int64) error {
-	for {
-		f.mu.Lock()
-		reached, synced := f.loaded && f.nextOffset >= offset, f.synced
-		f.mu.Unlock()
-		if reached {
-			return nil
-		}
-		if err := f.Sync(ctx); err == nil {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-synced:
-		case <-time.After(maxRetryDelay):
-		}
 	}
 }
--- a/internal/engine/scheduler/reports.go
+++ b/internal/engine/scheduler/reports.go
@@ -96,7 +96,7 @@
 		if r.name != name || work.WorkerID(r.worker.key) != work.WorkerID(w.key) {
 			continue
 		}
-		t.log.Info("a run is on another life of its worker", zap.Stringer("run", name), zap.String("recorded", r.worker.key), zap.String("worker", w.key))
+		t.log.Info("a run is on another incarnation of its worker", zap.Stringer("run", name), zap.String("recorded", r.worker.key), zap.String("worker", w.key))
 		r.worker.removeRun(r)
 		t.moveRun(r, w)
 		return r
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -111,7 +111,7 @@
 			s.Elector.StandBack(isolationStandBack)
 		}
 		if ctx.Err() == nil {
-			s.Elector.MarkFenced(epoch)
+			s.Elector.EndEpoch(epoch)
 		}
 	}
 	return ctx.Err()
--- a/internal/engine/tenure/membership.go
+++ b/internal/engine/tenure/membership.go
@@ -136,10 +136,10 @@
 	switch {
 	case !holds && e.epoch != 0:
 		e.setEpoch(0, "another member holds the partition")
-	case holds && e.epoch == 0 && m.Generation > e.fencedEpoch:
+	case holds && e.epoch == 0 && m.Generation > e.endedEpoch:
 		e.setEpoch(m.Generation, "the partition was assigned to this host")
 	case holds && e.epoch == 0:
-		// The epoch of this generation is fenced. Leave the group at the next renewal,
+		// The epoch of this generation has ended. Leave the group at the next renewal,
 		// because only a new generation has a higher epoch.
 		e.heldAt = sent - unassignedTimeout
 	}
--- a/internal/engine/tenure/tenure.go
+++ b/internal/engine/tenure/tenure.go
@@ -67,10 +67,10 @@
 // Elector takes part in the election of the owner.
 type Elector struct {
 	Options
-	mu          sync.Mutex
-	generation  int64
-	epoch       int64 // 0 while this host is not the owner
-	fencedEpoch int64 // highest epoch that was fenced by a later one
+	mu         sync.Mutex
+	generation int64
+	epoch      int64 // 0 while this host is not the owner
+	endedEpoch int64 // highest epoch that EndEpoch has ended
 	// confirmedAt is when the last successful join was sent.
 	confirmedAt time.Duration
 	joinFailing bool // the last join failed
@@ -135,13 +135,13 @@
 	return e.confirmedAt + e.TTL - expiryMargin, e.epoch == epoch && epoch != 0
 }
 
-// MarkFenced ends the ownership in the epoch, because a later epoch was seen.
-func (e *Elector) MarkFenced(epoch int64) {
+// EndEpoch ends the ownership in the epoch. The host may become the owner again in a later one.
+func (e *Elector) EndEpoch(epoch int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fencedEpoch = max(e.fencedEpoch, epoch)
+	e.endedEpoch = max(e.endedEpoch, epoch)
 	if e.epoch == epoch {
-		e.setEpoch(0, "a later epoch was seen")
+		e.setEpoch(0, "the term is over")
 	}
 }
 
