Take an unanswered start for no proof of a crash by its task

Change: only for long-running tasks, of which nothing else is counted, does an unanswered start count as such. For other tasks it stays one of the four crashes. Conclusion: tasks that crash workers before the answer are given up at the fourth crash.

--- a/internal/engine/blame/blame.go
+++ b/internal/engine/blame/blame.go
@@ -43,7 +43,7 @@
 	// since: the start may have crashed it, or was sent to a worker that was lost already.
 	Unanswered bool
 	// Crashes is the number of earlier crashes that were counted for the task, FreshCrashes that
-	// of those under fresh runs and unanswered starts.
+	// of those for which CountsAsFresh held.
 	Crashes, FreshCrashes int
 	// LongRunning reports whether the task runs until its job is cancelled. Such a task lives
 	// through many crashes, so that only those right after its starts tell anything.
@@ -53,6 +53,11 @@
 // Fresh reports whether the run may have crashed its worker with its start.
 func (r Run) Fresh() bool { return r.AgeKnown && r.Age < FreshAge }
 
+// CountsAsFresh reports whether a crash under the run is counted as one right after its start.
+// An unanswered start only does for a long-running task, for which nothing else is counted: it
+// may have been sent to a worker that was lost already.
+func (r Run) CountsAsFresh() bool { return r.Fresh() || (r.Unanswered && r.LongRunning) }
+
 // Verdict is the result for one run.
 type Verdict struct {
 	// Counted reports whether the crash counts for the task.
@@ -96,7 +101,7 @@
 		certain := r.FreshCrashes+1 >= minFreshCrashes && r.Fresh() && !shared && leads(runs, suspects, i)
 		often := crashes >= maxCrashes
 		if r.LongRunning {
-			often = r.FreshCrashes+1 >= maxCrashes && (r.Fresh() || r.Unanswered)
+			often = r.FreshCrashes+1 >= maxCrashes && r.CountsAsFresh()
 		}
 		verdicts[i].GiveUp = verdicts[i].Counted && (certain || often)
 	}
--- a/internal/engine/blame/blame_test.go
+++ b/internal/engine/blame/blame_test.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// TestUnansweredStartIsNoProof guards against a sound job that is given up after a start that was sent to a lost worker and one power cut.
+func TestUnansweredStartIsNoProof(t *testing.T) {
+	if (Run{Unanswered: true}).CountsAsFresh() {
+		t.Error("an unanswered start counts as a crash right after the start")
+	}
+	if !(Run{Unanswered: true, LongRunning: true}).CountsAsFresh() {
+		t.Error("an unanswered start of a long-running task is not counted")
+	}
+}
+
 // TestSharedLoss guards against power cuts that count against the tasks of their workers, and against bad tasks that are spared because they crash workers at the same time.
 func TestSharedLoss(t *testing.T) {
 	at := func(worker string, ms int, fresh bool) Loss {
--- a/internal/engine/scheduler/crashes.go
+++ b/internal/engine/scheduler/crashes.go
@@ -92,7 +92,7 @@
 			zap.Duration("age", evidence[i].Age), zap.Bool("age_known", evidence[i].AgeKnown), zap.Int("crashes", evidence[i].Crashes),
 			zap.Bool("counted", verdicts[i].Counted))
 		if verdicts[i].Counted {
-			t.countCrash(r, evidence[i].Fresh() || evidence[i].Unanswered, verdicts[i].GiveUp)
+			t.countCrash(r, evidence[i].CountsAsFresh(), verdicts[i].GiveUp)
 		}
 	}
 }
