Drop reservations only after a service has been underused for a while

A gang that waited for the end of long work was passed by slower work, if that work had waited and two ends were reported before a third one of the same moment. Cause: reservations were dropped as soon as less than half of the service was in use and a step had waited 1.5 s, however long the service had been full until then. Change: the service must have been underused for that time, too.

--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -64,16 +64,17 @@
 	over := t.organisationsOverGuarantee()
 	queue := t.readySteps(now, over)
 	if len(queue) == 0 {
+		clear(t.underusedSince)
 		return
 	}
 	t.nextPlanAt = min(t.nextPlanAt, now+replanInterval)
 	rests := t.rests(now)
 	snapshots := t.snapshots(now)
-	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), rests: rests, underused: map[*plan.Snapshot]bool{},
+	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), rests: rests, underusedSince: map[*plan.Snapshot]time.Duration{},
 		overGuarantee: over, victimPools: map[victimClass]*victimPool{}}
 	t.updateSuspects(p)
-	for _, s := range snapshots {
-		p.underused[s] = s.UsedFraction() < reservationMinUsedFraction
+	for service, s := range snapshots {
+		t.noteUse(service, s, p)
 	}
 	for _, q := range queue {
 		if s := snapshots[q.job.Service]; s != nil {
@@ -90,6 +91,24 @@
 	t.metrics.planTime.Update(t.Now() - now)
 }
 
+// noteUse notes since when a service has been underused.
+func (t *term) noteUse(service string, s *plan.Snapshot, p *planningPass) {
+	if s.UsedFraction() >= reservationMinUsedFraction {
+		delete(t.underusedSince, service)
+		return
+	}
+	if _, known := t.underusedSince[service]; !known {
+		t.underusedSince[service] = p.now
+	}
+	p.underusedSince[s] = t.underusedSince[service]
+}
+
+// isUnderused reports whether less than reservationMinUsedFraction of the service is in use.
+func (p *planningPass) isUnderused(s *plan.Snapshot) bool {
+	_, ok := p.underusedSince[s]
+	return ok
+}
+
 // snapshots returns a snapshot of the usable workers of each service.
 func (t *term) snapshots(now time.Duration) map[string]*plan.Snapshot {
 	keys := make([]string, 0, len(t.workers))
@@ -197,8 +216,9 @@
 	// that have got a task in this pass.
 	rests  map[string]*health.Rest
 	probed map[string]bool
-	// underused marks services of which less than reservationMinUsedFraction is in use.
-	underused map[*plan.Snapshot]bool
+	// underusedSince is since when less than reservationMinUsedFraction of a service has been in
+	// use; other services are missing.
+	underusedSince map[*plan.Snapshot]time.Duration
 	// overGuarantee marks organisations whose urgent jobs need more than they are
 	// guaranteed.
 	overGuarantee map[string]bool
@@ -237,7 +257,7 @@
 	if q.job.NeedsAdvice {
 		request.Allowed = t.workersWithTicket(q.job, q.step, now)
 	}
-	if p.underused[s] && waited > maxReservationWait {
+	if p.isUnderused(s) && min(waited, now-p.underusedSince[s]) > maxReservationWait {
 		s.ReleaseReservations()
 	}
 	exclusions := t.exclusions(s, q, p)
@@ -290,7 +310,7 @@
 	}
 	spread := *request
 	spread.AnyRack = true
-	if !p.underused[s] || !s.Fits(&spread) {
+	if !p.isUnderused(s) || !s.Fits(&spread) {
 		delete(q.job.spreadableSince, q.step)
 		return false
 	}
--- a/internal/engine/scheduler/rest.go
+++ b/internal/engine/scheduler/rest.go
@@ -144,7 +144,7 @@
 	if len(p.rests) == 0 || waited < probeDelay {
 		return nil
 	}
-	pressing := q.job.StepAt(q.step).LongRunning || (p.underused[s] && !q.onLastAttempt())
+	pressing := q.job.StepAt(q.step).LongRunning || (p.isUnderused(s) && !q.onLastAttempt())
 	closed := p.closedTo(q.job, pressing)
 	var sets []map[string]bool
 	if failed := q.job.health.FailedOn(); len(failed) > 0 {
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -54,6 +54,9 @@
 	latestKeys map[string]string
 	// incarnations holds the keys of all known incarnations of a worker by its id.
 	incarnations map[string][]string
+	// underusedSince is since when less than reservationMinUsedFraction of a service has been in
+	// use, by service; only services with waiting steps are in it.
+	underusedSince map[string]time.Duration
 	// isolatedSince is since when most workers that are alive cannot be reached; 0 if they can.
 	isolatedSince time.Duration
 	// lastJobAt is when the last new job was seen; 0 if none was in this term.
@@ -95,7 +98,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		suspects: map[*job]bool{}, incarnations: map[string][]string{},
+		suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
