--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -57,7 +57,7 @@
 	// underusedSince is since when less than reservationMinUsedFraction of a service has been in
 	// use, by service; only services with waiting steps are in it.
 	underusedSince map[string]time.Duration
-	// isolatedSince is since when most workers that are alive cannot be reached; 0 if they can.
+	// isolatedSince is since when hardly any worker that is alive can be reached; 0 if they can.
 	isolatedSince time.Duration
 	// lastJobAt is when the last new job was seen; 0 if none was in this term.
 	lastJobAt time.Duration
--- a/internal/engine/starvation_test.go
+++ b/internal/engine/starvation_test.go
@@ -49,3 +49,20 @@
 		}
 	})
 }
+
+// TestSlowOwnerKeepsOwnership guards against an owner that gives up ownership while it still
+// reaches some workers, as one that is short of processor time does.
+func TestSlowOwnerKeepsOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 3, workers: 12})
+		defer c.close()
+		owner := c.owner()
+		for i := range 8 {
+			c.fleet.SetUnreachable(owner.name, newWorkerEntry(i).ID, true)
+		}
+		time.Sleep(20 * time.Second)
+		if c.owner() != owner {
+			t.Error("the owner gave up ownership while it reached a third of the workers")
+		}
+	})
+}
