--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -54,7 +54,11 @@
 	latestKeys map[string]string
 	// incarnations holds the keys of all known incarnations of a worker by its id.
 	incarnations map[string][]string
-	zonesOut     map[string]bool
+	// isolatedSince is since when most workers that are alive cannot be reached; 0 if they can.
+	isolatedSince time.Duration
+	// lastJobAt is when the last new job was seen; 0 if none was in this term.
+	lastJobAt time.Duration
+	zonesOut  map[string]bool
 	// formerLeasesEnd is when every lease that a former owner requested has lapsed.
 	formerLeasesEnd time.Duration
 	endErr          error // why the term ended
@@ -184,6 +188,7 @@
 	if now-t.checkedAt >= tickInterval {
 		t.checkedAt = now
 		t.checkWorkers(now)
+		t.checkIsolation(now)
 		t.forgetExpiredJobs()
 		t.checkWaves(now)
 	}
@@ -224,6 +229,7 @@
 			// The job was submitted after the takeover, so it has no state record.
 			j = t.addJob(e.Job, work.NewState(e.Job))
 			j.publishedHeader = string(work.EncodeHeader(e.Status, e.Started))
+			t.lastJobAt = t.Now()
 			t.log.Info("job seen", zap.String("job", id), zap.Int("priority", j.Priority),
 				zap.Int("steps", j.StepCount()), zap.Int("tasks", j.Steps[0].Tasks), zap.Int("chain_ms", j.CriticalPathMS()),
 				zap.Int64("objective_ms", j.DeadlineMS(0)-j.AcceptedMS), zap.Int64("age_ms", t.WallClock().UnixMilli()-j.AcceptedMS))
@@ -236,7 +242,7 @@
 }
 
 func (t *term) addJob(submitted *work.Job, state *work.State) *job {
-	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, failedWorkers: map[string]bool{}, moves: map[work.TaskName]int{}, waitingSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
+	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, moves: map[work.TaskName]int{}, waitingSince: map[int]time.Duration{}, spreadableSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
 	t.jobs[submitted.ID] = j
 	return j
 }
--- a/internal/engine/work/record.go
+++ b/internal/engine/work/record.go
@@ -87,6 +87,7 @@
 		if i == 0 {
 			e.flushTasks()
 			e.body = binary.AppendUvarint(e.body, uint64(s.Failures))
+			e.body = binary.AppendUvarint(e.body, uint64(s.FailedRun))
 			e.body = appendString(e.body, boundCheckpoint(s.Checkpoint))
 		}
 		e.addTask(s.Tasks[i].recorded())
@@ -215,7 +216,7 @@
 		return nil, err
 	}
 	for i := range s.Steps {
-		if s.Steps[i].Failures < 0 || slices.ContainsFunc(s.Steps[i].Tasks, func(t TaskState) bool { return !t.valid() }) {
+		if min(s.Steps[i].Failures, s.Steps[i].FailedRun) < 0 || slices.ContainsFunc(s.Steps[i].Tasks, func(t TaskState) bool { return !t.valid() }) {
 			return nil, trace.BadParameter("state of job %s: step %d has a number or phase out of range", j.ID, i)
 		}
 	}
@@ -275,7 +276,7 @@
 			d.nextChunk()
 		}
 		if i == 0 {
-			s.Failures = int(d.uvarint())
+			s.Failures, s.FailedRun = int(d.uvarint()), int(d.uvarint())
 			s.Checkpoint = d.string()
 		}
 		s.Tasks[i] = d.readTask()
--- a/internal/engine/work/record_test.go
+++ b/internal/engine/work/record_test.go
@@ -66,6 +66,7 @@
 	length, n := rapid.IntRange(1, 100).Draw(t, "length"), 0
 	for i := range s.Steps {
 		s.Steps[i].Failures, s.Steps[i].Checkpoint = rapid.IntRange(0, 3).Draw(t, "failures"), rapid.StringMatching(`[a-f]{0,8}`).Draw(t, "checkpoint")
+		s.Steps[i].FailedRun = rapid.IntRange(0, 300).Draw(t, "failed run")
 		for k := range s.Steps[i].Tasks {
 			s.Steps[i].Tasks[k] = groups[n/length%len(groups)]
 			n++
--- a/internal/soak/odd_records_test.go
+++ b/internal/soak/odd_records_test.go
@@ -5,10 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -42,34 +39,30 @@
 
 // TestOddRecordsKeepJobsRunning guards against processes that end, runs that end or start twice, and jobs that are lost because of odd records in the store.
 func TestOddRecordsKeepJobsRunning(t *testing.T) {
-	daemonPath := filepath.Join(t.TempDir(), "daisyfoldd")
-	if out, err := exec.Command("go", "build", "-o", daemonPath, "../../cmd/daisyfoldd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
 	const seed = 91
-	s := &soakRun{cluster: newCluster(t, daemonPath, seed), rng: rand.New(rand.NewPCG(seed, 4))}
+	s := &oddRun{cluster: newCluster(t, buildDaemon(t), seed)}
 	time.Sleep(3 * time.Second) // the hosts elect an owner
-	for n := range workerCount {
+	for n := range *workerCount {
 		s.submitFull(n, 1, 4*time.Second)
 	}
-	s.submitFull(workerCount, workerCount, 300*time.Millisecond)
+	s.submitFull(*workerCount, *workerCount, 300*time.Millisecond)
 	const interval = 400 * time.Millisecond
 	for i, field := range oddFields {
 		s.putOddEntries(field.name, field.value)
 		s.putOddRecords(oddValues[i%len(oddValues)])
 		time.Sleep(interval)
-		next := testManifest()
+		next := testManifest(1)
 		next.Version += int64(i) + 1
 		s.store.Put(platform.TopicOperator, store.Record{Key: "config", Value: platformtest.EncodeManifest(next)})
 		if i == len(oddFields)/2 {
 			killed := s.hosts[0]
-			s.restart(killed, killed.signal(syscall.SIGKILL))
+			s.restart(killed, killed.signal(syscall.SIGKILL), 0)
 		}
 	}
 	s.checkAlive()
 	s.awaitCompletion()
-	if n := s.fleet.Ledger().Count("done"); n != 2*workerCount {
-		t.Errorf("%d runs done, want %d", n, 2*workerCount)
+	if n := s.fleet.Ledger().Count("done"); n != 2**workerCount {
+		t.Errorf("%d runs done, want %d", n, 2**workerCount)
 	}
 	for _, ending := range []string{"lapsed", "stopped", "failed"} {
 		if n := s.fleet.Ledger().Count(ending); n != 0 {
@@ -81,15 +74,21 @@
 	}
 }
 
+// oddRun is the state of the test.
+type oddRun struct {
+	*cluster
+	jobPaths []string // paths of accepted jobs
+}
+
 // submitFull submits a gang of which each task fills a worker, until a host accepts it.
-func (s *soakRun) submitFull(n, tasks int, duration time.Duration) {
+func (s *oddRun) submitFull(n, tasks int, duration time.Duration) {
 	s.t.Helper()
 	step := work.Step{Tasks: tasks, Demand: work.Resources{CPU: 10_000, MemoryMB: 1000, Accelerators: 8}, EstimateMS: int(duration.Milliseconds()), Gang: tasks > 1}
 	job := &work.Job{ID: fmt.Sprintf("%016x", n+1), Spec: fmt.Sprint("spec ", n), MaxAttempts: 3, Steps: []work.Step{step}}
 	s.fleet.RegisterJob(job, func(int, int) standin.Behaviour { return standin.Behaviour{Work: duration} })
 	path := "/normal/" + job.ID
 	for attempt := range 20 {
-		if status, _ := s.hosts[attempt%hostCount].call(http.MethodPost, path, platformtest.EncodeSubmission(job)); status == http.StatusOK {
+		if status, _ := s.hosts[attempt%*hostCount].call(http.MethodPost, path, platformtest.EncodeSubmission(job)); status == http.StatusOK {
 			s.jobPaths = append(s.jobPaths, path)
 			return
 		}
@@ -99,9 +98,9 @@
 }
 
 // putOddEntries leaves an entry with the changed field over the one of each worker.
-func (s *soakRun) putOddEntries(field string, value any) {
+func (s *oddRun) putOddEntries(field string, value any) {
 	s.t.Helper()
-	for i := range workerCount {
+	for i := range *workerCount {
 		id := fmt.Sprintf("w%02d", i)
 		r, _ := s.store.Newest(platform.TopicWorkers, id)
 		entry := map[string]any{}
@@ -120,7 +119,7 @@
 }
 
 // putOddRecords leaves an odd value in the other topics.
-func (s *soakRun) putOddRecords(value string) {
+func (s *oddRun) putOddRecords(value string) {
 	put := func(topic string, keys ...string) {
 		for _, key := range keys {
 			s.store.Put(topic, store.Record{Key: key, Value: []byte(value)})
@@ -134,7 +133,7 @@
 }
 
 // checkAlive fails the test if a process has ended.
-func (s *soakRun) checkAlive() {
+func (s *oddRun) checkAlive() {
 	s.t.Helper()
 	for _, p := range s.hosts {
 		p.mu.Lock()
@@ -146,3 +145,30 @@
 		p.mu.Unlock()
 	}
 }
+
+// oddCompletionTimeout bounds the time until all accepted jobs are completed.
+const oddCompletionTimeout = 40 * time.Second
+
+// awaitCompletion waits until each accepted job is reported as completed.
+func (s *oddRun) awaitCompletion() {
+	deadline := time.Now().Add(oddCompletionTimeout)
+	pending := s.jobPaths
+	for len(pending) > 0 && time.Now().Before(deadline) {
+		var unfinished []string
+		for i, path := range pending {
+			host := s.hosts[i%len(s.hosts)]
+			status, body := host.call(http.MethodGet, path, nil)
+			if status == http.StatusGone {
+				s.t.Errorf("%s returns status 410 for the accepted job %s", host.name, path)
+			}
+			if string(body) != `{"state":"completed"}` {
+				unfinished = append(unfinished, path)
+			}
+		}
+		pending = unfinished
+		time.Sleep(200 * time.Millisecond)
+	}
+	for _, path := range pending {
+		s.t.Errorf("job %s has not been completed within %s", path, oddCompletionTimeout)
+	}
+}
