Size the chunks of a state by the limits of the settings

A chunk held up to 256 tasks of 512 bytes whatever the settings' recordBytes and callBytes said. Where they say less, a job with long checkpoints was accepted and failed later with "its state cannot be stored": accepted work lost for a limit of the system that was known at the submission. Change: a chunk holds as many tasks as fit into a record in the worst case, and the first chunk says how many if that is not 256, so records at the usual limits stay as they are. A job whose state may exceed an append without its checkpoints is rejected at the submission, with the size and the limit. If an append is too small for a state with checkpoints, these are left out before the job fails. Measured: on TestStateFitsLimitsOfSettings, TestStateBeyondLimitsIsRejectedAtSubmission and TestLoweredLimitsCostCheckpointsOnly fail ("ended as f, want d", "got ok, want bad_job"); with the change they pass, and so do the tests of package work and those of rejected appends. Conclusion: with limits that stay, no accepted job fails for the size of its state.

--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -191,14 +190,17 @@
 	if e, known := s.Jobs.Get(job.ID); known && (e.Job != nil || e.Unreadable) {
 		return Answer{Outcome: OK, Reason: "already accepted"}
 	}
+	if err := job.CheckStateSize(s.StoreLimits.RecordBytes, s.StoreLimits.CallBytes); err != nil {
+		return Answer{Outcome: BadJob, Reason: err.Error()}
+	}
 	job.Queue, job.Service, job.Organisation = queue.ID(), queue.Service, organisation
 	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
 	job.AcceptedMS = s.WallClock().UnixMilli()
 	record := store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()}
-	if size, limit := record.Size(), s.StoreLimits.RecordBytes; size > limit {
-		return Answer{Outcome: BadJob, Reason: fmt.Sprintf("the job's record has %d bytes, and the store's limit is %d", size, limit)}
+	if err := s.StoreLimits.Check([]store.Record{record}); err != nil {
+		return Answer{Outcome: BadJob, Reason: err.Error()}
 	}
 	return s.write(ctx, record)
 }
--- a/internal/engine/scheduler/records.go
+++ b/internal/engine/scheduler/records.go
@@ -170,11 +170,11 @@
 }
 
 // addToBatch adds the changed records of a job, and reports false if the batch has no room
-// for them. A job whose state exceeds the store's limits fails.
+// for them. A job whose state exceeds the store's limits fails: the limits were higher when the
+// job was accepted.
 func (t *term) addToBatch(b *batch, j *job) bool {
-	chunks := j.state.Encode(j.Job)
-	records := changedRecords(j, chunks)
-	if err := t.StoreLimits.Check(records); err != nil && !j.state.Status.Ended() {
+	chunks, records, err := t.encodeState(j)
+	if err != nil && !j.state.Status.Ended() {
 		j.dirty = false
 		t.finish(j, work.Failed, "its state cannot be stored: "+err.Error())
 		return true
@@ -190,6 +190,25 @@
 	return true
 }
 
+// encodeState returns the chunks of a job's state and the records that have changed. If the
+// records would exceed the store's limits, checkpoints are left out from then on. The error
+// names the limit if the records exceed it without them.
+func (t *term) encodeState(j *job) (chunks [][]byte, records []store.Record, err error) {
+	layout := work.NewLayout(t.StoreLimits.RecordBytes)
+	if !j.omitsCheckpoints {
+		chunks = j.state.Encode(j.Job, layout)
+		records = changedRecords(j, chunks)
+		if err = t.StoreLimits.Check(records); err == nil {
+			return chunks, records, nil
+		}
+		j.omitsCheckpoints = true
+		t.log.Warn("the state of a job is recorded without checkpoints from now on", zap.String("job", j.ID), zap.Error(err))
+	}
+	chunks = j.state.Encode(j.Job, layout.WithoutCheckpoints())
+	records = changedRecords(j, chunks)
+	return chunks, records, t.StoreLimits.Check(records)
+}
+
 // changedRecords returns the records of a job's state that differ from those at the store.
 // Chunks that have become empty are deleted.
 func changedRecords(j *job, chunks [][]byte) []store.Record {
--- a/internal/engine/scheduler/rejections.go
+++ b/internal/engine/scheduler/rejections.go
@@ -52,7 +52,7 @@
 	if j.state.Status.Ended() {
 		state = j.state
 	}
-	chunks := state.Encode(j.Job)
+	chunks := state.Encode(j.Job, work.NewLayout(t.StoreLimits.RecordBytes))
 	t.startAppend(&t.runWriter, changedRecords(j, chunks), func(t *term, err error) {
 		if err != nil {
 			t.log.Error("the store rejects all records; waiting", zap.String("job", j.ID), zap.Error(err))
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -20,6 +20,8 @@
 	// header of the state that callers see.
 	recorded        [][]byte
 	publishedHeader string
+	// omitsCheckpoints is set once the state has exceeded the store's limits with checkpoints.
+	omitsCheckpoints bool
 	// runs are the job's runs that are not known to have ended.
 	runs map[*run]bool
 	// advice is the answer of the advice service, by step.
--- a/internal/engine/work/record.go
+++ b/internal/engine/work/record.go
@@ -8,27 +8,15 @@
 	"github.com/gravitational/trace"
 )
 
-// The state of a job is kept in chunks, each of which is a record of the store. Chunk n holds
-// the tasks from n*tasksPerChunk on, counted through over all steps. Chunk 0 begins with the
-// header that callers see.
-const (
-	// tasksPerChunk bounds the size of a record to tasksPerChunk*maxTaskBytes, 128 KiB.
-	tasksPerChunk = 256
-	// maxTaskBytes is an upper bound of the bytes of a task and its step in a record, with the
-	// longest worker key and checkpoint. MaxTasks tasks fit into one append of 2 MiB.
-	maxTaskBytes = 512
-	// maxCheckpointBytes is the length up to which checkpoints are recorded. A task with a
-	// longer one starts from the beginning after a takeover.
-	maxCheckpointBytes = 96
-	// MaxChunks is the largest number of chunks of a job.
-	MaxChunks = MaxTasks / tasksPerChunk
-)
-
 // Formats of a state record, in the byte after the header. JSON was written before states
 // were split into chunks.
 const (
+	// formatChunks is the format of records with maxTasksPerChunk tasks, and of all records
+	// but the first.
 	formatChunks = 1
-	formatJSON   = '{'
+	// formatSizedChunks is followed by the number of tasks in a chunk.
+	formatSizedChunks = 2
+	formatJSON        = '{'
 )
 
 // Bits of the byte that describes a task; the lowest two bits hold the phase.
@@ -40,24 +28,15 @@
 	unassignedFlags = ^byte(phaseMask | suspectFlag | checkpointFlag | countersFlag)
 )
 
-// ChunkCount returns the number of chunks of the job's state.
-func (j *Job) ChunkCount() int {
-	tasks := 0
-	for i := range j.Steps {
-		tasks += j.Steps[i].Tasks
-	}
-	return (tasks*max(j.Occurrences, 1) + tasksPerChunk - 1) / tasksPerChunk
-}
-
 // Encode returns the values of the records of the state, by chunk. Those without tasks of a
 // job that has ended are empty.
-func (s *State) Encode(j *Job) [][]byte {
-	chunks := make([][]byte, j.ChunkCount())
-	chunks[0] = binary.AppendUvarint(append(s.Header(), formatChunks), uint64(s.EndedMS))
+func (s *State) Encode(j *Job, l Layout) [][]byte {
+	chunks := make([][]byte, j.chunkCount(l.tasksPerChunk))
+	chunks[0] = binary.AppendUvarint(l.appendFormat(s.Header()), uint64(s.EndedMS))
 	if s.Status.Ended() {
 		return chunks
 	}
-	e := chunkEncoder{chunks: chunks}
+	e := chunkEncoder{Layout: l, chunks: chunks}
 	for i := range s.Steps {
 		e.addStep(&s.Steps[i])
 	}
@@ -68,6 +47,7 @@
 // chunkEncoder distributes tasks over chunks. Consecutive tasks with the same state take the
 // space of one.
 type chunkEncoder struct {
+	Layout
 	chunks  [][]byte
 	current int               // number of the current chunk
 	tasks   int               // tasks in the current chunk
@@ -80,7 +60,7 @@
 
 func (e *chunkEncoder) addStep(s *StepState) {
 	for i := range s.Tasks {
-		if e.tasks == tasksPerChunk {
+		if e.tasks == e.tasksPerChunk {
 			e.finishChunk()
 			e.current++
 		}
@@ -88,9 +68,9 @@
 			e.flushTasks()
 			e.body = binary.AppendUvarint(e.body, uint64(s.Failures))
 			e.body = binary.AppendUvarint(e.body, uint64(s.FailedRun))
-			e.body = appendString(e.body, boundCheckpoint(s.Checkpoint))
+			e.body = appendString(e.body, e.recordedCheckpoint(s.Checkpoint))
 		}
-		e.addTask(s.Tasks[i].recorded())
+		e.addTask(e.recordedTask(s.Tasks[i]))
 	}
 }
 
@@ -169,21 +149,21 @@
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
 }
 
-// recorded returns the part of the task's state that a later owner needs.
-func (t TaskState) recorded() TaskState {
+// recordedTask returns the part of the task's state that a later owner needs.
+func (l Layout) recordedTask(t TaskState) TaskState {
 	if t.Phase == Done {
 		return TaskState{Phase: Done, RunNumber: t.RunNumber}
 	}
 	if t.Phase != Placed {
 		t.Worker = ""
 	}
-	t.Checkpoint = boundCheckpoint(t.Checkpoint)
+	t.Checkpoint = l.recordedCheckpoint(t.Checkpoint)
 	return t
 }
 
-// boundCheckpoint returns the checkpoint, or none if it is too long to be recorded.
-func boundCheckpoint(checkpoint string) string {
-	if len(checkpoint) > maxCheckpointBytes {
+// recordedCheckpoint returns the checkpoint, or none if it is not to be recorded.
+func (l Layout) recordedCheckpoint(checkpoint string) string {
+	if l.omitsCheckpoints || len(checkpoint) > maxCheckpointBytes {
 		return ""
 	}
 	return checkpoint
@@ -207,7 +187,7 @@
 	switch body[0] {
 	case formatJSON:
 		err = decodeJSON(j, s, status, body)
-	case formatChunks:
+	case formatChunks, formatSizedChunks:
 		err = decodeChunks(j, s, status, chunks)
 	default:
 		err = trace.BadParameter("the state of job %s has the unknown format %d", j.ID, body[0])
@@ -244,7 +224,8 @@
 }
 
 func decodeChunks(j *Job, s *State, status Status, chunks [][]byte) error {
-	d := &chunkDecoder{chunks: chunks, data: chunks[0][HeaderBytes+1:]}
+	d := &chunkDecoder{chunks: chunks, data: chunks[0][HeaderBytes:]}
+	d.readFormat()
 	s.EndedMS = int64(d.uvarint())
 	if status.Ended() {
 		return d.err
@@ -260,19 +241,34 @@
 
 // chunkDecoder is the inverse of chunkEncoder. After an error, everything it reads is zero.
 type chunkDecoder struct {
-	chunks  [][]byte
-	current int
-	tasks   int
-	data    []byte // the rest of the current chunk
-	workers []string
-	last    TaskState // occurs repeats times more
-	repeats uint64
-	err     error
+	chunks        [][]byte
+	tasksPerChunk int
+	current       int
+	tasks         int
+	data          []byte // the rest of the current chunk
+	workers       []string
+	last          TaskState // occurs repeats times more
+	repeats       uint64
+	err           error
+}
+
+// readFormat reads the format of the first chunk.
+func (d *chunkDecoder) readFormat() {
+	d.tasksPerChunk = maxTasksPerChunk
+	if d.byte() != formatSizedChunks {
+		return
+	}
+	n := d.uvarint()
+	if n == 0 || n > maxTasksPerChunk {
+		d.fail("has an invalid number of tasks")
+		return
+	}
+	d.tasksPerChunk = int(n)
 }
 
 func (d *chunkDecoder) readStep(s *StepState) {
 	for i := range s.Tasks {
-		if d.tasks == tasksPerChunk {
+		if d.tasks == d.tasksPerChunk {
 			d.nextChunk()
 		}
 		if i == 0 {
@@ -321,7 +317,7 @@
 // readWorkers reads the table of workers at the start of a chunk.
 func (d *chunkDecoder) readWorkers() {
 	count := d.uvarint()
-	if count > tasksPerChunk {
+	if count > maxTasksPerChunk {
 		d.fail("has too many workers")
 		return
 	}
