Ask for the advice of other steps while the calls for one fail

One call for advice is in flight at a time, and the first waiting step was asked for again 0.3 s after each failure. A step for which the service always fails, or whose tickets are valid too shortly to be used, kept all later ones from being asked for: their jobs never started, those of other organisations too. Change: a step whose call failed waits 0.3 s, then twice as long with each failure, up to 4.8 s. Tickets that have expired before a start could use them count as a failure. Measured: TestRejectedAdviceDoesNotStopOthers fails without the change (3 jobs of 3 not started in 10 s, 27 calls for the bad step) and passes with it; TestAdvice passes. Conclusion: one job no longer starves others for want of advice.

--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
@@ -21,7 +22,7 @@
 	// adviceTimeout limits the duration of a call, which increases with the number of
 	// workers.
 	adviceTimeout = 2 * time.Second
-	// adviceRetryDelay is the delay after a call that failed.
+	// adviceRetryDelay is the delay of all calls after one that failed.
 	adviceRetryDelay = 300 * time.Millisecond
 	// ticketMargin is the part of a ticket's validity that is kept for recording and
 	// sending the start.
@@ -35,6 +36,8 @@
 	asked map[string]bool
 	// tickets holds the tickets of the workers that may run the step, by worker id.
 	tickets map[string]ticket
+	// calls postpones calls for the step after failed ones.
+	calls retry
 }
 
 // ticket permits tasks of a step to start on one incarnation of a worker.
@@ -95,7 +98,7 @@
 // requestAdvice asks about more workers for a waiting step. Only one call is in flight at
 // a time, because the service processes the calls of a host one after the other.
 func (t *term) requestAdvice(s *plan.Snapshot, q readyStep, now time.Duration) {
-	if t.adviceInFlight || now < t.nextAdviceAt || t.Advisor == nil {
+	if t.adviceInFlight || now < t.nextAdviceAt || t.Advisor == nil || now < q.job.adviceFor(q.step).calls.at {
 		return
 	}
 	ids := t.adviceCandidates(s, q, now)
@@ -139,13 +142,19 @@
 // handleAdvice processes the answer to a call that was sent at the given time.
 func (t *term) handleAdvice(j *job, step int, ids []string, sent time.Duration, answer workers.Advice, err error) {
 	t.adviceInFlight = false
+	known := j.adviceFor(step)
+	if err == nil && len(answer.Tickets) > 0 && answer.ValidFor <= ticketMargin {
+		err = trace.Errorf("the tickets are valid for %v, which is too short to use them", answer.ValidFor)
+	}
 	if err != nil {
-		t.nextAdviceAt = t.Now() + adviceRetryDelay
-		t.log.Warn("the advice service did not answer", zap.String("job", j.ID), zap.Int("step", step), zap.Error(err))
+		now := t.Now()
+		known.calls.fail(now)
+		t.nextAdviceAt = now + adviceRetryDelay
+		t.log.Warn("no advice for a step", zap.String("job", j.ID), zap.Int("step", step), zap.Int("failures", known.calls.failures), zap.Error(err))
 		t.nextPlanAt = min(t.nextPlanAt, t.nextAdviceAt)
 		return
 	}
-	known := j.adviceFor(step)
+	known.calls = retry{}
 	for _, id := range ids {
 		known.asked[id] = true
 	}
--- /dev/null
+++ b/internal/engine/scheduler/retry.go
@@ -0,0 +1,23 @@
+package scheduler
+
+import "time"
+
+const (
+	// minRetryDelay is the delay after the first failure of calls or orders for a step. It
+	// doubles with each further one up to maxRetryDelay.
+	minRetryDelay = 300 * time.Millisecond
+	maxRetryDelay = 16 * minRetryDelay
+)
+
+// retry postpones calls or orders for one step that fail again and again, so that they leave
+// room for those for other steps.
+type retry struct {
+	failures int           // since the last success
+	at       time.Duration // earliest time of the next attempt
+}
+
+// fail records a failure.
+func (r *retry) fail(now time.Duration) {
+	r.at = now + min(minRetryDelay<<min(r.failures, 10), maxRetryDelay)
+	r.failures++
+}
--- a/internal/standin/advice.go
+++ b/internal/standin/advice.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 )
@@ -19,6 +21,8 @@
 	BaseLatency, LatencyPerWorker time.Duration
 	Validity                      time.Duration // how long the tickets are valid
 	Calls                         int           // completed calls
+	// Rejects returns whether calls for a step fail, given its name; nil means that none does.
+	Rejects func(step string) bool
 }
 
 // Advisor returns the fleet's advice service.
@@ -34,6 +38,9 @@
 	a.fleet.mu.Lock()
 	defer a.fleet.mu.Unlock()
 	a.Calls++
+	if a.Rejects != nil && a.Rejects(step) {
+		return workers.Advice{}, trace.Errorf("the advice service rejects step %s", step)
+	}
 	advice := workers.Advice{Tickets: map[string]string{}, ValidFor: a.Validity}
 	for _, w := range a.fleet.workers {
 		for _, id := range ids {
