Postpone the starts of a step that are rejected as malformed

A start that a worker answers with 400 was planned again at once, under the next run number, for good: each round is an append and a start a task, at the expense of everybody's share of the store's calls. Conclusion: a job that no worker understands costs little, and is still tried.

--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -134,6 +134,7 @@
 		t.metrics.startTime.Update(now - sent)
 		t.log.Info("run started", zap.Stringer("run", r.name), zap.String("worker", w.key), zap.Duration("took", now-sent), zap.Bool("repeated", unanswered))
 		r.phase, r.startedAt = runStarted, now
+		delete(r.job.starts, r.job.StepNumber(r.name.Task))
 		w.nextPollAt = now
 		return
 	}
@@ -154,6 +155,8 @@
 	case workers.NoTicket:
 		delete(r.job.adviceFor(r.job.StepNumber(r.name.Task)).tickets, w.entry.ID)
 		delete(r.job.adviceFor(r.job.StepNumber(r.name.Task)).asked, w.entry.ID)
+	case workers.Malformed:
+		r.job.startRejected(r.job.StepNumber(r.name.Task), t.Now())
 	case workers.Unhealthy, workers.NotSent, workers.NoRoom:
 		t.backOff(w, why.String())
 	}
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -147,6 +147,10 @@
 				t.nextPlanAt = min(t.nextPlanAt, now+time.Duration(due-wallMS)*time.Millisecond)
 				continue
 			}
+			if at := j.nextStartAt(s); at > now {
+				t.nextPlanAt = min(t.nextPlanAt, at)
+				continue
+			}
 			if !j.state.StepReady(j.Job, s) {
 				continue
 			}
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -33,6 +33,8 @@
 	// moves counts how often a task was moved off a slow worker; a gang counts under its
 	// first task.
 	moves map[work.TaskName]int
+	// starts postpones the starts of a step that a worker has rejected as malformed, by step.
+	starts map[int]*retry
 	// waitingSince is when a step became ready, by step, while it has unplaced tasks.
 	waitingSince map[int]time.Duration
 	// spreadableSince is since when a gang that waits for one rack has fitted on several, by
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -29,6 +29,8 @@
 	CrashesBeforeAnswer bool
 	// CheckpointPadding is the number of bytes that are added to each checkpoint.
 	CheckpointPadding int
+	// Malformed marks a task whose starts are rejected as malformed.
+	Malformed bool
 }
 
 // FleetOptions are the parameters of a fleet.
@@ -77,6 +79,8 @@
 	lostAnswerRate float64
 	// forcedLateOrders is how many of the next orders are late regardless of the rate.
 	forcedLateOrders int
+	// malformedStarts counts the starts that were rejected as malformed.
+	malformedStarts int
 }
 
 // registeredJob is a job with the behaviour of its tasks.
@@ -117,6 +121,13 @@
 // Ledger returns the ledger of all runs.
 func (f *Fleet) Ledger() *Ledger { return f.ledger }
 
+// MalformedStarts returns the number of starts that were rejected as malformed.
+func (f *Fleet) MalformedStarts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.malformedStarts
+}
+
 // RegisterJob adds a job and the behaviour of each of its tasks. Starts of tasks of other
 // jobs are violations.
 func (f *Fleet) RegisterJob(j *work.Job, behaviour func(step, index int) Behaviour) {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -118,6 +118,9 @@
 	case !known:
 		w.fleet.ledger.addViolation("UNASKED: %s belongs to no registered job", o.Run)
 		return answer(workers.Malformed)
+	case job.behaviour(o.Run.Task.Step, o.Run.Task.Index).Malformed:
+		w.fleet.malformedStarts++
+		return answer(workers.Malformed)
 	case current != nil && current.name.Number == o.Run.Number:
 		return answer(workers.Accepted)
 	case o.Run.Number <= w.highestEndedRun[o.Run.Task] || current != nil:
