Poll the workers a few at a time after a takeover

Change: at most 64 polls of workers that have not answered yet are in flight, not counting those without an answer for 0.1 s, and workers with runs come first. The workers that a takeover finds are logged by their number instead of by a line each. Measured: TestTakeoverOfManyWorkersEnds (1,500 workers, hosts with a slow processor) on the code before: a takeover each second, the job has not ended after a minute; now one takeover.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -60,6 +60,8 @@
 	ctx             context.Context
 	// wrapStore, if set, wraps the store's client of each host that is added.
 	wrapStore func(host string, s store.Store) store.Store
+	// wrapWorkers, if set, does so with its client of the workers.
+	wrapWorkers func(host string, w workers.Client) workers.Client
 	// clockMu guards busyTime and failNext. It is not mu, because close holds mu while it
 	// waits for the hosts, which read the clock.
 	clockMu sync.Mutex
@@ -204,9 +206,13 @@
 	if c.wrapStore != nil {
 		client = c.wrapStore(name, client)
 	}
+	workersClient := c.fleet.Client(name)
+	if c.wrapWorkers != nil {
+		workersClient = c.wrapWorkers(name, workersClient)
+	}
 	registry := gometrics.NewRegistry()
 	o := engine.Options{
-		Host: name, CPUShare: c.cpuShares[name], Store: client, Workers: c.fleet.Client(name), Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
+		Host: name, CPUShare: c.cpuShares[name], Store: client, Workers: workersClient, Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
 		OperatorTopic: operatorTopic, WorkerTopic: standin.TopicWorkers,
 		DecodeOperator: decodeOperator, DecodeWorker: standin.DecodeWorker,
 		Bounds: scheduler.Bounds{
--- a/internal/engine/scheduler/incarnations.go
+++ b/internal/engine/scheduler/incarnations.go
@@ -40,7 +40,7 @@
 	if w.reached && e.Address != w.entry.Address {
 		return false // it has answered at the known address, which an incarnation keeps
 	}
-	if !w.listed && !w.dead {
+	if !w.listed && !w.dead && t.tookOver {
 		t.log.Info("worker listed", zap.String("worker", key), zap.String("zone", e.Zone), zap.String("rack", e.Rack))
 	}
 	if e.Draining && !w.entry.Draining {
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -66,11 +66,20 @@
 
 func (t *term) checkWorker(w *worker, now time.Duration) {
 	t.sendDueStops(w, now)
-	if !w.pollInFlight && now >= w.nextPollAt && w.entry.Address != "" && (w.listed || len(w.runs) > 0) {
+	switch {
+	case !t.pollDue(w, now):
+	case w.reached:
 		t.poll(w, now)
+	default:
+		t.queueFirstPoll(w)
 	}
 }
 
+// pollDue reports whether it is time to poll a worker.
+func (t *term) pollDue(w *worker, now time.Duration) bool {
+	return !w.pollInFlight && now >= w.nextPollAt && w.entry.Address != "" && (w.listed || len(w.runs) > 0)
+}
+
 // mark includes a worker in the next checkMarkedWorkers.
 func (t *term) mark(w *worker) { t.marked[w] = true }
 
@@ -169,6 +178,7 @@
 func (t *term) handlePollAnswer(w *worker, sent time.Duration, request workers.PollRequest, report workers.Report, err error) {
 	now := t.Now()
 	w.pollInFlight = false
+	delete(t.firstPolls.sentAt, w)
 	t.mark(w)
 	switch {
 	case errors.Is(err, workers.ErrFenced):
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -204,11 +204,13 @@
 	slowUntil    time.Duration
 	speed        speedEstimate
 	pollInFlight bool
-	nextPollAt   time.Duration // when the next poll is due
-	missedPolls  int           // consecutive polls without an answer
-	lostAt       time.Duration // when the first of them failed
-	lostInUpkeep bool          // inUpkeep was set at lostAt
-	crashHandled bool          // handleCrash was called
+	// firstPollQueued reports whether the worker waits in term.firstPolls.
+	firstPollQueued bool
+	nextPollAt      time.Duration // when the next poll is due
+	missedPolls     int           // consecutive polls without an answer
+	lostAt          time.Duration // when the first of them failed
+	lostInUpkeep    bool          // inUpkeep was set at lostAt
+	crashHandled    bool          // handleCrash was called
 }
 
 func (w *worker) ref() workers.Ref { return workers.Ref{ID: w.entry.ID, Address: w.entry.Address} }
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -57,6 +57,7 @@
 	t.zonesOut = t.Operator.ZonesOut()
 	t.updateWaves()
 	t.inheritJobs(runs)
+	t.tookOver = true
 	t.metrics.takeovers.Inc(1)
 	t.log.Info("took over", zap.Int("jobs", len(t.jobs)), zap.Int("workers", len(t.workers)),
 		zap.Duration("took", t.Now()-t.began))
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -41,14 +41,17 @@
 // term is one period of ownership.
 type term struct {
 	*Scheduler
-	ctx     context.Context
-	epoch   int64
-	began   time.Duration
-	bounds  Bounds
-	log     *zap.Logger
-	events  chan event
-	jobs    map[string]*job
-	workers map[string]*worker // by worker key
+	ctx   context.Context
+	epoch int64
+	began time.Duration
+	// tookOver is set at the end of the takeover. The workers that were listed by then are logged
+	// by their number only.
+	tookOver bool
+	bounds   Bounds
+	log      *zap.Logger
+	events   chan event
+	jobs     map[string]*job
+	workers  map[string]*worker // by worker key
 	// latestKeys holds the key of each worker's latest incarnation that has answered, or of the
 	// listed one while none has, by worker id.
 	latestKeys map[string]string
@@ -83,6 +86,7 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Duration
 	waves          waveState
+	firstPolls     firstPolls
 	// nextPlanAt is when to plan again if nothing else requires it.
 	nextPlanAt time.Duration
 	recorder
@@ -98,7 +102,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{sentAt: map[*worker]time.Duration{}}, suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
@@ -196,6 +200,7 @@
 		t.checkWaves(now)
 	}
 	t.checkMarkedWorkers(now)
+	t.sendFirstPolls(now)
 	if t.needsPlanning || now >= t.nextPlanAt {
 		t.planQueue(now)
 	}
