Pause fillers beside latency-sensitive tasks that fit nowhere else

Best-effort and latency-sensitive tasks never shared a worker, and a stop was withheld while mayMiss tasks of its step were away. Fillers with mayMiss 1 on every worker let one serving task of three start and kept the others out for good; the stopped filler found no place either. The other way round, fillers never started beside serving tasks on all workers. Callers saw accepted jobs with nothing running. Change: what has waited for 1.5 s shares a worker. Long-running fillers are paused before a serving task starts there, or right after their own start beside one, and go on when they are alone. An unanswered pace is repeated while it may be carried out late; a new owner sends all paces again. Long-running fillers are only stopped if they fit elsewhere. Fillers that are paused earn nothing; pacing them by the response times beside them is not built.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -19,9 +19,10 @@
 	// StepTasks counts the tasks on the worker by step, for steps that limit their tasks
 	// per worker.
 	StepTasks map[StepKey]int
-	// LatencySensitiveTasks and BestEffortTasks count tasks of the two kinds, which must
-	// not share a worker.
-	LatencySensitiveTasks, BestEffortTasks int
+	// LatencySensitiveTasks and BestEffortTasks count tasks of the two kinds, which share a worker
+	// only if the request says so and all best-effort tasks are pausable. PausableTasks counts
+	// those that are on the worker.
+	LatencySensitiveTasks, BestEffortTasks, PausableTasks int
 	// Overcommitted reports whether the tasks on the worker exceed its capacity, because it
 	// was reduced. It gets no task, not even one that needs none of the resource in question.
 	Overcommitted bool
@@ -62,6 +63,8 @@
 	// AvoidSlower excludes slower workers. Requests without it prefer them, so that the
 	// others remain available.
 	AvoidSlower bool
+	// SharesWorkers allows pausable best-effort tasks beside latency-sensitive ones.
+	SharesWorkers bool
 	// Allowed holds the keys of the workers that may get tasks; nil allows all workers.
 	Allowed map[string]bool
 }
@@ -84,7 +87,7 @@
 	if req.Allowed != nil && !req.Allowed[n.Key] {
 		return 0
 	}
-	if (req.Step.BestEffort && n.LatencySensitiveTasks > 0) || (req.Step.LatencySensitive && n.BestEffortTasks > 0) {
+	if !req.mayMeet(n) {
 		return 0
 	}
 	d := req.Step.Demand
@@ -101,6 +104,18 @@
 	return max(count, 0)
 }
 
+// mayMeet reports whether the tasks may be on a worker with the best-effort and
+// latency-sensitive tasks that it has.
+func (req *Request) mayMeet(n *Node) bool {
+	switch {
+	case req.Step.BestEffort && n.LatencySensitiveTasks > 0:
+		return req.SharesWorkers && req.Step.Pausable()
+	case req.Step.LatencySensitive && n.BestEffortTasks > 0:
+		return req.SharesWorkers && n.PausableTasks == n.BestEffortTasks
+	}
+	return true
+}
+
 func capByResource(count, perTask, available int) int {
 	if perTask <= 0 {
 		return count
@@ -116,6 +131,9 @@
 	}
 	if req.Step.BestEffort {
 		n.BestEffortTasks++
+		if req.Step.Pausable() {
+			n.PausableTasks++
+		}
 	}
 	if req.Step.MaxPerWorker > 0 {
 		if n.StepTasks == nil {
@@ -125,6 +143,11 @@
 	}
 }
 
+// FitsBeside reports whether a task of the request fits on another worker than the given one.
+func (s *Snapshot) FitsBeside(req *Request, key string) bool {
+	return slices.ContainsFunc(s.Nodes, func(n *Node) bool { return n.Key != key && req.slots(n, n.Free) > 0 })
+}
+
 // Snapshot is the set of workers of one service.
 type Snapshot struct {
 	Nodes []*Node
--- a/internal/engine/scheduler/incarnations.go
+++ b/internal/engine/scheduler/incarnations.go
@@ -60,7 +60,9 @@
 
 // addWorker adds an incarnation of a worker.
 func (t *term) addWorker(key string) *worker {
-	w := &worker{key: key, runs: map[work.RunName]*run{}}
+	w := &worker{
+		key: key, runs: map[work.RunName]*run{}, bestEffort: map[*run]bool{}, latencySensitive: map[*run]bool{}, awaitingPause: map[*run]time.Duration{},
+	}
 	t.workers[key] = w
 	id := work.WorkerID(key)
 	t.incarnations[id] = append(t.incarnations[id], key)
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -42,6 +42,9 @@
 		t.endRun(r, workers.EndedStopped, "")
 		return
 	}
+	if t.awaitsPause(r, now) {
+		return
+	}
 	var ticket string
 	if r.job.NeedsAdvice {
 		var ok bool
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -271,6 +271,7 @@
 		request.AnyRack = true
 		nodes = placeExcluding(s, q, request, exclusions)
 	}
+	nodes = append(nodes, t.placeSharing(s, q, len(nodes), request, waited, exclusions)...)
 	restore()
 	if len(nodes) > 0 {
 		p.noteProbes(nodes)
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -66,6 +66,7 @@
 
 func (t *term) checkWorker(w *worker, now time.Duration) {
 	t.sendDueStops(w, now)
+	t.sendDuePaces(w, now)
 	switch {
 	case !t.pollDue(w, now):
 	case w.reached:
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -202,8 +202,9 @@
 }
 
 // stopBestEffortRuns stops the best-effort runs on as many workers as a latency-sensitive
-// step needs. The two kinds do not share a worker, so that best-effort runs cannot push
-// response times above their target.
+// step needs. The two kinds share a worker only while best-effort runs are paused, so that these
+// cannot push response times above their target. Long-running ones that fit nowhere else are
+// left for that.
 func (t *term) stopBestEffortRuns(s *plan.Snapshot, request *plan.Request) {
 	remaining := request.Tasks
 	for _, n := range s.Nodes {
@@ -215,7 +216,7 @@
 		}
 		remaining--
 		for _, r := range t.workers[n.Key].sortedRuns() {
-			if r.job != nil && r.step().BestEffort && !r.stopping {
+			if r.job != nil && r.step().BestEffort && !r.stopping && (!r.step().Pausable() || r.fitsElsewhere(s)) {
 				t.log.Info("a filler is stopped for a task that serves", zap.Stringer("run", r.name), zap.String("job", request.Key.Job))
 				t.requestStop(r)
 			}
--- a/internal/engine/scheduler/progress.go
+++ b/internal/engine/scheduler/progress.go
@@ -88,7 +88,7 @@
 // checkProgress updates the speed of a run. A slow run indicates that its worker is slow
 // or stalled; the run is restarted elsewhere if that is expected to be faster.
 func (t *term) checkProgress(r *run, now time.Duration) {
-	if r.currentTask() == nil || r.stopping || r.percent >= completePercent || r.phase != runStarted {
+	if r.currentTask() == nil || r.stopping || r.percent >= completePercent || r.phase != runStarted || r.isPaused() {
 		return
 	}
 	began, allStarted := t.workingSince(r)
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -119,12 +119,13 @@
 
 // metrics holds the scheduler's counters and timers.
 type metrics struct {
-	starts, stops, preemptions, takeovers gometrics.Counter
-	appendTime, startTime, waitTime       gometrics.Timer
-	planTime, roundTime                   gometrics.Timer
-	startAnswers                          map[workers.Outcome]gometrics.Counter
-	runEndings                            map[workers.Ending]gometrics.Counter
-	unansweredStarts, panics              gometrics.Counter
+	starts, stops, paces            gometrics.Counter
+	preemptions, takeovers          gometrics.Counter
+	appendTime, startTime, waitTime gometrics.Timer
+	planTime, roundTime             gometrics.Timer
+	startAnswers                    map[workers.Outcome]gometrics.Counter
+	runEndings                      map[workers.Ending]gometrics.Counter
+	unansweredStarts, panics        gometrics.Counter
 	// crashFailures counts jobs that were failed because their tasks crash workers.
 	workerCrashes, crashFailures gometrics.Counter
 	// rejectedAppends counts appends that the store rejected for good.
@@ -137,7 +138,7 @@
 	}
 	timer := func(name string) gometrics.Timer { return gometrics.GetOrRegisterTimer("scheduler."+name, r) }
 	m := metrics{
-		starts: counter("starts"), stops: counter("stops"), preemptions: counter("preemptions"),
+		starts: counter("starts"), stops: counter("stops"), paces: counter("paces"), preemptions: counter("preemptions"),
 		takeovers: counter("takeovers"), unansweredStarts: counter("starts_unanswered"), panics: counter("panics"),
 		workerCrashes: counter("worker_crashes"), crashFailures: counter("crash_failures"),
 		rejectedAppends: counter("rejected_appends"),
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -126,6 +126,7 @@
 	inherited    bool
 	percent      float64
 	speed        speedTracker
+	pace         paceState
 	checkpoint   string
 	checkpointAt time.Duration
 }
@@ -188,6 +189,12 @@
 	endsSeen, endsRecorded, endsAcked int64
 	// stoppingRuns counts the runs that are to be stopped.
 	stoppingRuns int
+	// bestEffort and latencySensitive are the runs of the two kinds, which share the worker only
+	// while the best-effort ones are paused.
+	bestEffort, latencySensitive map[*run]bool
+	// awaitingPause holds the latency-sensitive runs that start once the best-effort ones are
+	// paused, with the time since when they wait.
+	awaitingPause map[*run]time.Duration
 	// backoffUntil is the time until which the worker gets no new runs because it refused one.
 	backoffUntil time.Duration
 	// health holds the failures of runs on the worker. While it rests because of them, other
@@ -244,8 +251,12 @@
 	if r.stopping {
 		w.stoppingRuns++
 	}
-	if r.job != nil {
-		r.job.runs[r] = true
+	if r.job == nil {
+		return
+	}
+	r.job.runs[r] = true
+	if kind := w.kindOf(r.step()); kind != nil {
+		kind[r] = true
 	}
 }
 
@@ -259,9 +270,12 @@
 	if r.stopping {
 		w.stoppingRuns--
 	}
-	if r.job != nil {
-		delete(r.job.runs, r)
+	if r.job == nil {
+		return
 	}
+	delete(r.job.runs, r)
+	delete(w.kindOf(r.step()), r)
+	delete(w.awaitingPause, r)
 }
 
 // node returns the worker as a node of a planning snapshot.
@@ -271,13 +285,13 @@
 		Capacity: w.entry.Capacity, Free: w.entry.Capacity.Minus(w.used), Slower: w.speed.isSlower(),
 		Overcommitted: !w.used.Fits(w.entry.Capacity),
 	}
-	for _, r := range w.runs {
-		if r.job != nil && r.step().LatencySensitive {
-			n.LatencySensitiveTasks++
-		}
-		if r.job != nil && r.step().BestEffort {
-			n.BestEffortTasks++
+	n.LatencySensitiveTasks, n.BestEffortTasks = len(w.latencySensitive), len(w.bestEffort)
+	for r := range w.bestEffort {
+		if r.step().Pausable() {
+			n.PausableTasks++
 		}
+	}
+	for _, r := range w.runs {
 		if r.job != nil && r.step().MaxPerWorker > 0 {
 			if n.StepTasks == nil {
 				n.StepTasks = map[plan.StepKey]int{}
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -173,7 +173,7 @@
 				w = t.addWorker(task.Worker)
 			}
 			name := work.RunName{Task: j.TaskName(s, i), Number: task.RunNumber}
-			w.addRun(&run{name: name, job: j, worker: w, demand: j.StepAt(s).Demand, phase: runUncertain, checkpoint: task.Checkpoint})
+			w.addRun(&run{name: name, job: j, worker: w, demand: j.StepAt(s).Demand, phase: runUncertain, pace: paceState{inherited: true}, checkpoint: task.Checkpoint})
 		}
 	}
 }
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -75,6 +75,10 @@
 	BestEffort bool `json:"fl,omitempty"`
 }
 
+// Pausable reports whether the step's tasks may be paused: they are best-effort tasks that no
+// later step waits for.
+func (s *Step) Pausable() bool { return s.BestEffort && s.LongRunning }
+
 // Job is a job as it was accepted. It is immutable.
 type Job struct {
 	ID           string  `json:"id"`
--- a/internal/engine/workers/workers.go
+++ b/internal/engine/workers/workers.go
@@ -174,10 +174,12 @@
 	Advise(ctx context.Context, step string, workers []string) (Advice, error)
 }
 
-// Client sends orders and polls to workers. An error of Start or Stop leaves open
+// Client sends orders and polls to workers. An error of Start, Stop or Pace leaves open
 // whether the order was executed; it may also be executed later.
 type Client interface {
 	Start(ctx context.Context, w Ref, order StartOrder) (Answer, error)
 	Stop(ctx context.Context, w Ref, run work.RunName, fence int64) (Answer, error)
+	// Pace limits a best-effort run to a share of its speed, in percent. A run starts with 100.
+	Pace(ctx context.Context, w Ref, run work.RunName, percent int, fence int64) (Answer, error)
 	Poll(ctx context.Context, w Ref, request PollRequest) (Report, error)
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -237,6 +237,7 @@
 	totalWork       time.Duration // work of the whole task
 	speed           float64
 	stalled         bool
+	slowedBy        int // percentage points by which the run is paced down
 	timer           *time.Timer
 	stopping        bool
 }
@@ -440,3 +441,21 @@
 		}
 	}
 }
+
+// isPaused reports whether the run does no work because of its pace.
+func (r *activeRun) isPaused() bool { return r.slowedBy == fullPace }
+
+// Paused returns the number of runs that are paused.
+func (f *Fleet) Paused() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			if r.isPaused() {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -38,7 +38,8 @@
 //   - LIMIT: a start exceeds the capacity of a worker, also one that has been reduced for
 //     longer than capacityNoticeTime and a heartbeat interval, or the number of machines of a wave
 //     that may be down.
-//   - HARM: a best-effort task runs on the same worker as a latency-sensitive task.
+//   - HARM: a best-effort task runs on the same worker as a latency-sensitive task; if it is
+//     long-running, it may do so while it is paused, and otherwise for maxHarmTime on end.
 //   - ROUTE: more tasks of a step run on one worker than the step permits.
 //   - AVAIL: a task is stopped although too many tasks of its step are unavailable.
 type Ledger struct {
@@ -141,8 +142,9 @@
 		l.addViolationLocked("LIMIT: %s does not fit on %s", task, w.entry.ID)
 	}
 	for other := range l.active {
-		if other.worker == w && !l.cancelledJobs[other.name.Task.Job] && ((r.step().BestEffort && other.step().LatencySensitive) || (r.step().LatencySensitive && other.step().BestEffort)) {
-			l.addViolationLocked("HARM: %s runs beside %s on %s", task, other.name, w.entry.ID)
+		if other.worker == w && !l.cancelledJobs[other.name.Task.Job] {
+			l.checkHarm(r, other)
+			l.checkHarm(other, r)
 		}
 	}
 	if limit := r.step().MaxPerWorker; limit > 0 && l.stepTasksOnWorker(w, task) >= limit {
@@ -152,6 +154,48 @@
 	l.active[r] = entry
 }
 
+const (
+	// maxHarmTime is how long on end a best-effort task that is not paused may run beside a
+	// latency-sensitive one.
+	maxHarmTime       = 4 * time.Second
+	harmCheckInterval = 100 * time.Millisecond
+)
+
+// checkHarm checks a best-effort run that has met a latency-sensitive one on its worker. Other
+// pairs are ignored. The caller holds the lock.
+func (l *Ledger) checkHarm(filler, serving *activeRun) {
+	if !filler.step().BestEffort || !serving.step().LatencySensitive {
+		return
+	}
+	if !filler.step().LongRunning {
+		l.addViolationLocked("HARM: %s runs beside %s on %s", filler.name, serving.name, filler.worker.entry.ID)
+		return
+	}
+	l.watchHarm(filler, serving, time.Now())
+}
+
+// watchHarm checks the pace of a best-effort run until it or the latency-sensitive run beside it
+// has ended. They have been together since the given time.
+func (l *Ledger) watchHarm(filler, serving *activeRun, since time.Time) {
+	time.AfterFunc(harmCheckInterval, func() {
+		filler.worker.fleet.mu.Lock()
+		if filler.isPaused() {
+			since = time.Now()
+		}
+		filler.worker.fleet.mu.Unlock()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.active[filler] == nil || l.active[serving] == nil {
+			return
+		}
+		if time.Since(since) > maxHarmTime {
+			l.addViolationLocked("HARM: %s has run beside %s on %s for %v without a pause", filler.name, serving.name, filler.worker.entry.ID, maxHarmTime)
+			return
+		}
+		l.watchHarm(filler, serving, since)
+	})
+}
+
 // stepTasksOnWorker returns the number of tasks on the worker that belong to the same
 // step as task. The caller holds the lock.
 func (l *Ledger) stepTasksOnWorker(w *Worker, task work.TaskName) int {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -16,6 +16,8 @@
 	workerLatency = time.Millisecond
 	// orderTimeout is how long a caller waits for a worker that does not respond.
 	orderTimeout = 800 * time.Millisecond
+	// fullPace is the pace of a run that is not slowed down, in percent.
+	fullPace = 100
 )
 
 var errNoWorkerAnswer = trace.ConnectionProblem(nil, "the worker did not answer")
@@ -151,6 +153,23 @@
 	})
 }
 
+// Pace implements workers.Client.
+func (c *fleetClient) Pace(ctx context.Context, ref workers.Ref, run work.RunName, percent int, fence int64) (workers.Answer, error) {
+	return c.sendOrder(ctx, ref, func(w *Worker) workers.Answer {
+		r := w.runs[run.Task]
+		switch {
+		case ref.ID != w.entry.ID:
+			return workers.Answer{Outcome: workers.OtherIncarnation, ClockMS: w.clockMS()}
+		case fence < w.fence:
+			return workers.Answer{Outcome: workers.Fenced, ClockMS: w.clockMS()}
+		case r != nil && r.name.Number == run.Number:
+			r.slowedBy = fullPace - percent
+		}
+		w.fence = fence
+		return workers.Answer{ClockMS: w.clockMS()}
+	})
+}
+
 // handleStop stops a run, or prevents its start if it has not started yet. The caller
 // holds the lock.
 func (w *Worker) handleStop(run work.RunName) {
