Send the starts of many tasks a few at a time

Change: at most 64 starts are in flight, not counting those without an answer for 0.1 s. The starts of runs that were placed together are sent together; urgent jobs come first. The limiter is the one of the first polls. Conclusion: the owner's heartbeat and the members of gangs no longer wait behind other starts.

--- a/internal/engine/first_polls_test.go
+++ b/internal/engine/busy_owner_test.go
@@ -26,9 +26,11 @@
 	<-p
 }
 
-// Processor time of a poll of a worker, and of a call to the store.
+// Processor time of sending a poll and of its answer, the same of a start, which opens a connection
+// more often, and of a call to the store.
 const (
 	pollCost  = 400 * time.Microsecond
+	startCost = 800 * time.Microsecond
 	storeCost = 400 * time.Microsecond
 )
 
@@ -44,6 +46,16 @@
 	return report, err
 }
 
+func (c busyWorkers) Start(ctx context.Context, ref workers.Ref, o workers.StartOrder) (workers.Answer, error) {
+	c.processor.use(startCost)
+	if err := ctx.Err(); err != nil {
+		return workers.Answer{}, err
+	}
+	answer, err := c.Client.Start(ctx, ref, o)
+	c.processor.use(startCost)
+	return answer, err
+}
+
 type busyStore struct {
 	store.Store
 	processor processor
@@ -94,3 +106,25 @@
 		c.awaitStatus(j.ID, work.Completed, 60*time.Second)
 	})
 }
+
+// TestManyGangsStartWhole guards against an owner that sends the starts of hundreds of tasks at once, so that attempts time out before they are sent, members of gangs wait for the others in vain, and its heartbeat stops.
+func TestManyGangsStartWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBusyCluster(t, 4, 600)
+		defer c.close()
+		var jobs []work.Job
+		c.checkTakeovers(t, 0, func() {
+			for id := 1; id <= 30; id++ {
+				j := newJob(id, work.Step{Tasks: 20, Demand: largeTask, EstimateMS: 10_000, Gang: true})
+				go c.submit("normal", j, standin.Behaviour{Work: 10 * time.Second})
+				jobs = append(jobs, j)
+			}
+		})
+		c.awaitCompleted(jobs, 30*time.Second)
+		for _, ending := range []workers.Ending{workers.EndedGangIncomplete, workers.EndedGangBroken, workers.EndedStopped} {
+			if n := c.fleet.Ledger().Count(ending.String()); n > 0 {
+				t.Errorf("%d runs ended %s", n, ending)
+			}
+		}
+	})
+}
--- a/internal/engine/scheduler/first_polls.go
+++ b/internal/engine/scheduler/first_polls.go
@@ -2,22 +2,11 @@
 
 import "time"
 
-const (
-	// maxFirstPolls limits the first polls in flight. Each opens a connection; those of thousands
-	// of workers at once would keep a host with a small share of a core from its heartbeat, and
-	// another host would take over and do the same.
-	maxFirstPolls = 64
-	// firstPollPatience is the time after which a first poll without an answer no longer counts,
-	// so that workers that cannot be reached do not hold up the others.
-	firstPollPatience = 100 * time.Millisecond
-)
-
 // firstPolls are the polls of workers that have not answered in this term. Workers with runs
 // come first, because the leases of their runs have to be renewed.
 type firstPolls struct {
 	withRuns, withoutRuns []*worker
-	// sentAt is when the polls in flight that count were sent.
-	sentAt map[*worker]time.Duration
+	inFlight              inFlight[*worker]
 }
 
 // queueFirstPoll queues the poll of a worker that has not answered in this term.
@@ -33,9 +22,9 @@
 	}
 }
 
-// sendFirstPolls sends queued polls as far as maxFirstPolls allows.
+// sendFirstPolls sends queued polls as far as maxInFlight allows.
 func (t *term) sendFirstPolls(now time.Duration) {
-	for t.mayPollFirst(now) {
+	for !t.firstPolls.inFlight.isFull(now) {
 		w := t.firstPolls.next()
 		if w == nil {
 			return
@@ -44,7 +33,7 @@
 		if w.dead || !t.pollDue(w, now) {
 			continue
 		}
-		t.firstPolls.sentAt[w] = now
+		t.firstPolls.inFlight[w] = now
 		t.poll(w, now)
 	}
 }
@@ -62,16 +51,3 @@
 	*queue = (*queue)[1:]
 	return w
 }
-
-// mayPollFirst reports whether another first poll may be sent.
-func (t *term) mayPollFirst(now time.Duration) bool {
-	if len(t.firstPolls.sentAt) < maxFirstPolls {
-		return true
-	}
-	for w, sent := range t.firstPolls.sentAt {
-		if now-sent >= firstPollPatience {
-			delete(t.firstPolls.sentAt, w)
-		}
-	}
-	return len(t.firstPolls.sentAt) < maxFirstPolls
-}
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -55,6 +55,7 @@
 		}
 	}
 	r.phase, r.startSentAt = runStartSent, now
+	t.startQueue.inFlight[r] = now
 	order := workers.StartOrder{
 		Run: r.name, Spec: r.job.Spec, Checkpoint: t.startCheckpoint(r),
 		LeaseUntilMS: t.extendLease(r.worker, now), Fence: t.epoch, Ticket: ticket,
@@ -111,6 +112,7 @@
 // unanswered reports whether an earlier attempt got no answer.
 func (t *term) handleStartAnswer(r *run, sent time.Duration, answer workers.Answer, unanswered bool, err error) {
 	now := t.Now()
+	delete(t.startQueue.inFlight, r)
 	r.startResolvedAt = now
 	w := r.worker
 	t.mark(w)
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -404,7 +404,7 @@
 		zap.Bool("gang", step.Gang), zap.Bool("saves", step.SavesProgress),
 		zap.Int("waiting", len(q.tasks)-len(tasks)), zap.Duration("waited", now-j.waitingSince[q.step]), zap.Int("run", gangRunNumber))
 	t.markDirty(j)
-	t.afterRecording(func() { t.startAll(runs) })
+	t.afterRecording(func() { t.queueStarts(runs) })
 }
 
 // startAll starts runs that were placed together. If any member of a gang cannot be
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -179,7 +179,7 @@
 func (t *term) handlePollAnswer(w *worker, sent time.Duration, request workers.PollRequest, report workers.Report, err error) {
 	now := t.Now()
 	w.pollInFlight = false
-	delete(t.firstPolls.sentAt, w)
+	delete(t.firstPolls.inFlight, w)
 	t.mark(w)
 	switch {
 	case errors.Is(err, workers.ErrFenced):
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -87,6 +87,7 @@
 	nextAdviceAt   time.Duration
 	waves          waveState
 	firstPolls     firstPolls
+	startQueue     startQueue
 	// nextPlanAt is when to plan again if nothing else requires it.
 	nextPlanAt time.Duration
 	recorder
@@ -102,7 +103,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		firstPolls: firstPolls{sentAt: map[*worker]time.Duration{}}, suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
@@ -201,6 +202,7 @@
 	}
 	t.checkMarkedWorkers(now)
 	t.sendFirstPolls(now)
+	t.sendQueuedStarts(now)
 	if t.needsPlanning || now >= t.nextPlanAt {
 		t.planQueue(now)
 	}
