Send the stops of many runs a few at a time

Cause: the same as with first polls and starts: a cancellation of a job of 1,000 tasks, or a preemption, sent all stops at once. Change: at most 64 stops are in flight, not counting those without an answer for 0.1 s; the others follow when these are answered, or at the next tick.

--- a/internal/engine/busy_owner_test.go
+++ b/internal/engine/busy_owner_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/daisyfold/daisyfold/internal/engine/intake"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
@@ -56,6 +57,16 @@
 	return answer, err
 }
 
+func (c busyWorkers) Stop(ctx context.Context, ref workers.Ref, run work.RunName, fence int64) (workers.Answer, error) {
+	c.processor.use(startCost)
+	if err := ctx.Err(); err != nil {
+		return workers.Answer{}, err
+	}
+	answer, err := c.Client.Stop(ctx, ref, run, fence)
+	c.processor.use(startCost)
+	return answer, err
+}
+
 type busyStore struct {
 	store.Store
 	processor processor
@@ -128,3 +139,23 @@
 		}
 	})
 }
+
+// TestManyStopsLeaveOwner guards against an owner that sends the stops of hundreds of tasks at once, so that its heartbeat stops and it is replaced.
+func TestManyStopsLeaveOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBusyCluster(t, 4, 400)
+		defer c.close()
+		j := newJob(1, work.Step{Tasks: 1000, Demand: smallTask, EstimateMS: 60_000})
+		c.submit("normal", j, standin.Behaviour{Work: time.Minute})
+		c.awaitRunning(j, 1000, 10*time.Second)
+		c.checkTakeovers(t, 0, func() {
+			if a := c.anyHost().Intake.Cancel(t.Context(), newCall("/normal/"+j.ID), j.ID); a.Outcome != intake.OK {
+				t.Errorf("got %v (%s) for the cancellation", a.Outcome, a.Reason)
+			}
+			time.Sleep(3 * time.Second)
+			if n := len(c.activeRuns(j)); n > 0 {
+				t.Errorf("%d tasks run 3 s after the cancellation", n)
+			}
+		})
+	})
+}
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -187,6 +187,9 @@
 		return // sent when the worker answers again
 	}
 	for _, r := range w.sortedRuns() {
+		if t.stopsInFlight.isFull(now) {
+			return // sent when others are answered, or at the next tick
+		}
 		if !r.stopping || r.stopInFlight || r.stopAnsweredAt != 0 {
 			continue
 		}
@@ -222,6 +225,7 @@
 		return
 	}
 	r.stopSentAt, r.stopInFlight = now, true
+	t.stopsInFlight[r] = now
 	ref := r.worker.ref()
 	t.metrics.stops.Inc(1)
 	t.spawn(func() {
@@ -236,6 +240,7 @@
 // later report: the worker lists the end, or the run is missing.
 func (t *term) handleStopAnswer(r *run, answer workers.Answer, err error) {
 	r.stopInFlight = false
+	delete(t.stopsInFlight, r)
 	now := t.Now()
 	w := r.worker
 	t.mark(w)
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -88,6 +88,7 @@
 	waves          waveState
 	firstPolls     firstPolls
 	startQueue     startQueue
+	stopsInFlight  inFlight[*run]
 	// nextPlanAt is when to plan again if nothing else requires it.
 	nextPlanAt time.Duration
 	recorder
@@ -103,7 +104,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
