Read less often on standby while the store refuses reads

A host whose reads are refused has an old copy, takes the owner for silent and then reads the statuses and the holders in each round of 80 ms: 33 reads a second, which keep other hosts out in turn. Change: after a refused read on standby the next one waits 80 ms, then twice as long with each refusal, up to 0.64 s, with jitter. Other errors change nothing, so a takeover does not wait longer.

--- a/internal/engine/tenure/standby.go
+++ b/internal/engine/tenure/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -14,7 +15,7 @@
 // standBy joins the group if the owner has stopped writing, has left, or has a smaller CPU
 // share.
 func (e *Elector) standBy(ctx context.Context) {
-	if e.standsBack() {
+	if e.standsBack() || e.Now() < e.nextReadAt {
 		return
 	}
 	e.confirmSilence(ctx)
@@ -26,8 +27,9 @@
 		sleep(ctx, rand.N(joinJitter))
 	}
 	holders, err := e.queryHolders(ctx, e.TTL/2)
+	e.noteRead(err)
 	if err != nil {
-		return // the error is logged, and the next round queries again
+		return // the error is logged, and a later round queries again
 	}
 	e.queriedAt = e.Now() - rand.N(holderQueryInterval/4)
 	holder := holders[ownerPartition]
@@ -136,11 +138,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.TTL/2)
 	defer cancel()
-	if err := e.Refresh(ctx); err != nil {
+	err := e.Refresh(ctx)
+	e.noteRead(err)
+	if err != nil {
 		e.Logger.Debug("the owner's records cannot be read", zap.Error(err))
 	}
 }
 
+// maxRefusalDelay bounds the delay after refused reads, which begins with standbyInterval and
+// doubles with each refusal.
+const maxRefusalDelay = 8 * standbyInterval
+
+// noteRead postpones further reads on standby if the store has refused one: all hosts share its
+// limit on the rate of reads.
+func (e *Elector) noteRead(err error) {
+	if !errors.Is(err, store.ErrRefused) {
+		e.refusals = 0
+		return
+	}
+	delay := min(standbyInterval<<min(e.refusals, 10), maxRefusalDelay)
+	e.refusals++
+	e.nextReadAt = e.Now() + delay/2 + rand.N(delay)
+}
+
 // evict removes a silent owner from the group before its membership expires. If the owner
 // is alive after all, the epoch of the next owner fences it.
 func (e *Elector) evict(ctx context.Context, member string) {
--- a/internal/engine/tenure/tenure.go
+++ b/internal/engine/tenure/tenure.go
@@ -86,6 +86,10 @@
 	// The following fields are used only by the goroutine of Run.
 	joined    bool          // this host is a member of the group
 	queriedAt time.Duration // when the holders were last queried
+	// refusals counts the reads on standby that the store refused in a row, and nextReadAt is the
+	// earliest time of the next one.
+	refusals   int
+	nextReadAt time.Duration
 	// heldAt is when this host last held the partition, or joined the group to get it.
 	heldAt time.Duration
 	// lastClaim is the last claim that was read, and lastClaimAt when it was first read.
