Forget the pace of a run that is found on another incarnation

Cause: found while reading the diff: a filler whose start reaches the next incarnation of its worker keeps the pace that the former one had confirmed, so it might not be paused there. Change: its pace counts as unknown, and is sent again. Measured: the tests of internal/engine pass; no test shows the case. Conclusion: a precaution.

--- a/internal/engine/scheduler/in_flight.go
+++ b/internal/engine/scheduler/in_flight.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// maxInFlight limits each of the first polls, the starts and the stops in flight. Hundreds of connections and orders
-// at once would keep a host with a small share of a core from its heartbeat, so that another host
-// took over and did the same, and would let orders time out before they are sent.
+// maxInFlight limits each of the first polls, the starts and the stops in flight. Hundreds of
+// connections and orders at once would keep a host with a small share of a core from its heartbeat,
+// so that another host took over and did the same, and would let orders time out before they are
+// sent.
 const maxInFlight = 64
 
 // answerPatience is the time after which a call without an answer no longer counts as in flight,
--- a/internal/engine/scheduler/pacing.go
+++ b/internal/engine/scheduler/pacing.go
@@ -38,7 +38,8 @@
 type paceState struct {
 	percent int // last confirmed pace; it counts only if known is set
 	known   bool
-	// inherited is set for a run of a former owner, whose pace is not known.
+	// inherited is set for a run of a former owner, or that was moved to another incarnation,
+	// whose pace is not known.
 	inherited bool
 	inFlight  bool
 	sentAt    time.Duration
--- a/internal/engine/scheduler/reports.go
+++ b/internal/engine/scheduler/reports.go
@@ -107,7 +107,7 @@
 // moveRun adds a run, which was removed from its worker, to another incarnation of the
 // worker.
 func (t *term) moveRun(r *run, to *worker) {
-	r.worker = to
+	r.worker, r.pace = to, paceState{inherited: true}
 	to.addRun(r)
 	if task := r.currentTask(); task != nil {
 		task.Worker = to.key
