Do not take a cut-off draining worker for one that has left

A removed entry counts as the worker's own act if it was updated less than two heartbeats ago, because the platform removes one only after three. A new owner took the entries that it loaded for updated at its takeover. If a draining worker was cut off from the store before that, the platform's removal followed within two heartbeats, and the owner ended the runs of a worker that still worked. Change: only updates that were seen since the list was loaded count for that. The assumption stays for the use of workers.

--- a/internal/engine/scheduler/worker_list.go
+++ b/internal/engine/scheduler/worker_list.go
@@ -32,12 +32,15 @@
 	// writtenAfter is a lower bound of the time when an entry's latest record was
 	// written, by worker id.
 	writtenAfter map[string]time.Duration
+	// renewed holds the ids of the workers whose entry was written since the list was loaded.
+	// For the others writtenAfter is an assumption, good enough to use them.
+	renewed map[string]bool
 	// appliedAt is when the last records were applied.
 	appliedAt time.Duration
 }
 
 func newWorkerList(t *term) *workerList {
-	return &workerList{t: t, entries: map[string]*workers.Entry{}, writtenAfter: map[string]time.Duration{}, appliedAt: t.entriesWrittenAfter}
+	return &workerList{t: t, entries: map[string]*workers.Entry{}, writtenAfter: map[string]time.Duration{}, renewed: map[string]bool{}, appliedAt: t.entriesWrittenAfter}
 }
 
 // maxEntryHeartbeats is the age of a worker's entry, in heartbeat intervals, up to which the
@@ -73,7 +76,7 @@
 // Reset implements replica.Sink.
 func (l *workerList) Reset(records []store.Record) {
 	entries, writtenAfter := l.entries, l.writtenAfter
-	l.entries, l.writtenAfter = map[string]*workers.Entry{}, map[string]time.Duration{}
+	l.entries, l.writtenAfter, l.renewed = map[string]*workers.Entry{}, map[string]time.Duration{}, map[string]bool{}
 	for _, r := range records {
 		if e := entries[r.Key]; e != nil {
 			l.entries[r.Key], l.writtenAfter[r.Key] = e, writtenAfter[r.Key]
@@ -83,7 +86,14 @@
 }
 
 // Apply implements replica.Sink.
-func (l *workerList) Apply(records []store.Record) { l.applyRecords(records) }
+func (l *workerList) Apply(records []store.Record) {
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			l.renewed[r.Key] = true
+		}
+	}
+	l.applyRecords(records)
+}
 
 func (l *workerList) applyRecords(records []store.Record) {
 	now, before := l.t.Now(), l.appliedAt
@@ -129,9 +139,10 @@
 }
 
 // removedByWorker reports whether a draining worker has removed its own entry: the
-// entry's last update is too recent for the platform to have removed it.
+// entry's last update is too recent for the platform to have removed it. That is not known for an
+// entry that was loaded and not updated since.
 func (l *workerList) removedByWorker(id string, now time.Duration) bool {
-	return l.entries[id].Draining && now-l.writtenAfter[id] < shutdownHeartbeats*l.t.bounds.WorkerHeartbeatInterval
+	return l.entries[id].Draining && l.renewed[id] && now-l.writtenAfter[id] < shutdownHeartbeats*l.t.bounds.WorkerHeartbeatInterval
 }
 
 // handleShutdown ends the runs of a worker that has shut down.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -164,6 +164,7 @@
 	fleet           *Fleet
 	entry           workers.Entry
 	up              bool
+	cutFromStore    bool // see SetCutFromStore
 	fence           int64
 	runs            map[work.TaskName]*activeRun
 	highestEndedRun map[work.TaskName]int // highest run that was stopped or has ended
@@ -321,7 +322,7 @@
 			w.fleet.mu.Unlock()
 			return
 		}
-		if w.up {
+		if w.up && !w.cutFromStore {
 			missed = 0
 			w.publishEntry()
 		} else if missed++; missed == 3 {
@@ -331,6 +332,14 @@
 	}
 }
 
+// SetCutFromStore sets whether the worker cannot reach the store, so that its entry is deleted
+// after three heartbeats although it is up.
+func (w *Worker) SetCutFromStore(cut bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.cutFromStore = cut
+}
+
 // Crash terminates the worker and its runs at once. Its entry remains until three
 // heartbeats are missed.
 func (w *Worker) Crash() {
