--- a/internal/engine/scheduler/pacing.go
+++ b/internal/engine/scheduler/pacing.go
@@ -172,7 +172,8 @@
 // kind.
 func (t *term) placeSharing(s *plan.Snapshot, q readyStep, placed int, request *plan.Request, waited time.Duration, exclusions []map[string]bool) []*plan.Node {
 	step := request.Step
-	if placed == len(q.tasks) || waited < sharingDelay || step.Gang || !(step.LatencySensitive || step.Pausable()) {
+	mayShare := !step.Gang && (step.LatencySensitive || step.Pausable())
+	if !mayShare || placed == len(q.tasks) || waited < sharingDelay {
 		return nil
 	}
 	shared := *request
