Stand-in: set and read the state of the advice service under its lock

Change: both have methods that take it. Conclusion: a fault of the test only; the check is the same.

--- a/internal/engine/advice_test.go
+++ b/internal/engine/advice_test.go
@@ -16,7 +16,7 @@
 		c := newCluster(t, clusterOptions{hosts: 2, workers: 8})
 		defer c.close()
 		bad := newJob(1, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 1000})
-		c.advisor.Rejects = func(step string) bool { return strings.HasPrefix(step, bad.ID) }
+		c.advisor.SetRejections(func(step string) bool { return strings.HasPrefix(step, bad.ID) })
 		bad.NeedsAdvice = true
 		c.submit("advised", bad, standin.Behaviour{Work: time.Second})
 		for id := 2; id <= 4; id++ {
@@ -27,12 +27,12 @@
 		for id := 2; id <= 4; id++ {
 			c.awaitStatus(newJob(id).ID, work.Completed, 10*time.Second)
 		}
-		calls := c.advisor.Calls
+		calls := c.advisor.CallCount()
 		time.Sleep(10 * time.Second)
-		if n := c.advisor.Calls - calls; n < 2 || n > 10 {
+		if n := c.advisor.CallCount() - calls; n < 2 || n > 10 {
 			t.Errorf("%d calls in 10 s for a step that is rejected, want 2 to 10", n)
 		}
-		c.advisor.Rejects = nil
+		c.advisor.SetRejections(nil)
 		c.awaitStatus(bad.ID, work.Completed, 10*time.Second)
 	})
 }
--- a/internal/standin/advice.go
+++ b/internal/standin/advice.go
@@ -21,8 +21,23 @@
 	BaseLatency, LatencyPerWorker time.Duration
 	Validity                      time.Duration // how long the tickets are valid
 	Calls                         int           // completed calls
-	// Rejects returns whether calls for a step fail, given its name; nil means that none does.
-	Rejects func(step string) bool
+	// rejects returns whether calls for a step fail, given its name; nil means that none does.
+	rejects func(step string) bool
+}
+
+// SetRejections makes the calls fail for the steps, given by name, for which rejects returns
+// true; nil means that none fails.
+func (a *Advisor) SetRejections(rejects func(step string) bool) {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	a.rejects = rejects
+}
+
+// CallCount returns the number of completed calls.
+func (a *Advisor) CallCount() int {
+	a.fleet.mu.Lock()
+	defer a.fleet.mu.Unlock()
+	return a.Calls
 }
 
 // Advisor returns the fleet's advice service.
@@ -38,7 +53,7 @@
 	a.fleet.mu.Lock()
 	defer a.fleet.mu.Unlock()
 	a.Calls++
-	if a.Rejects != nil && a.Rejects(step) {
+	if a.rejects != nil && a.rejects(step) {
 		return workers.Advice{}, trace.Errorf("the advice service rejects step %s", step)
 	}
 	advice := workers.Advice{Tickets: map[string]string{}, ValidFor: a.Validity}
