Decode caps and weights of organisations, and agree on interfaces

Cause: four parts are built at the same time; they share the manifest's model, the order of waiting steps and the price of stopping a run. Conclusion: no decision changes.

--- a/internal/engine/manifest/manifest.go
+++ b/internal/engine/manifest/manifest.go
@@ -5,6 +5,8 @@
 import (
 	"sort"
 	"strings"
+
+	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
 // Queue is a namespace of jobs that are run by one service. It is selected by the host
@@ -28,13 +30,20 @@
 // ID returns an identifier of the queue that is stable across versions of the manifest.
 func (q *Queue) ID() string { return q.Host + q.PathPrefix }
 
-// Organisation is a customer with its keys and its guarantee.
+// Organisation is a customer with its keys, its guarantee, its cap and its weight.
 type Organisation struct {
 	Name string
 	Keys []string
 	// GuaranteedAccelerators is the number of accelerators that are available to its jobs
 	// of priority 0 at all times.
 	GuaranteedAccelerators int
+	// Cap is the most that its tasks may use of all workers together, by resource; 0 means no
+	// limit.
+	Cap work.Resources
+	// Weight is its share, relative to those of others, when there is too little room for all,
+	// and the number of jobs per second up to which its jobs go before what others send beyond
+	// theirs; 0 if the manifest sets none.
+	Weight float64
 }
 
 // Manifest is a version of the operators' configuration.
@@ -90,3 +99,13 @@
 	}
 	return guarantees
 }
+
+// Organisation returns the organisation with the given name, or nil.
+func (m *Manifest) Organisation(name string) *Organisation {
+	for i := range m.Organisations {
+		if m.Organisations[i].Name == name {
+			return &m.Organisations[i]
+		}
+	}
+	return nil
+}
