Keep each organisation within its cap

Change: a ledger (internal/engine/quota) is charged for each run until it is known to have ended; placement, preemption and starts stay within it. Where the cap binds, runs of the same organisation give way first. Waiting work of one priority is ordered by rate and weighted share.

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -67,6 +67,10 @@
 	SharesWorkers bool
 	// Allowed holds the keys of the workers that may get tasks; nil allows all workers.
 	Allowed map[string]bool
+	// Owner is the organisation of the job. Its own victims must free Shortfall before a
+	// preemption takes room of others: beyond its cap it could not use that.
+	Owner     string
+	Shortfall work.Resources
 }
 
 // slots returns how many tasks of the request fit on the worker, given its available
--- a/internal/engine/plan/preempt.go
+++ b/internal/engine/plan/preempt.go
@@ -14,6 +14,10 @@
 	Freed []Freed
 	// Cost is the work that is lost, in core milliseconds, weighted by priority.
 	Cost float64
+	// Owner is the organisation that Refund counts for: what stopping the victim frees on all
+	// workers, those of other services included.
+	Owner  string
+	Refund work.Resources
 }
 
 // Freed is what stopping a victim frees on one worker.
@@ -29,6 +33,8 @@
 	taken  []bool // by index in list
 	byRack map[string]*candidates
 	all    candidates
+	// byOwner holds the victims by owner, in ascending order of their cost.
+	byOwner map[string]*candidates
 }
 
 // candidates are sorted when a search first needs them.
@@ -60,7 +66,7 @@
 
 // NewVictims indexes the victims. It sorts the entries in Freed of each victim.
 func NewVictims(list []Victim) *Victims {
-	v := &Victims{list: list, taken: make([]bool, len(list)), byRack: map[string]*candidates{}}
+	v := &Victims{list: list, taken: make([]bool, len(list)), byRack: map[string]*candidates{}, byOwner: map[string]*candidates{}}
 	v.all.list = make([]candidate, 0, len(list))
 	for i, victim := range list {
 		if len(victim.Freed) > 1 {
@@ -71,6 +77,11 @@
 		everywhere := candidate{victim: i, freed: victim.Freed}
 		v.all.list = append(v.all.list, everywhere.withCost(victim.Cost))
 		v.addToRacks(everywhere, victim.Cost)
+		if v.byOwner[victim.Owner] == nil {
+			v.byOwner[victim.Owner] = &candidates{}
+		}
+		own := v.byOwner[victim.Owner]
+		own.list = append(own.list, everywhere.withCost(victim.Cost))
 	}
 	return v
 }
@@ -180,10 +191,15 @@
 	// available holds what is free on each worker once the chosen victims have stopped.
 	available map[*Node]work.Resources
 	slots     int // slots for the request in available
+	// shortfall is what victims of the request's owner must still free.
+	shortfall work.Resources
+	chosen    map[int]bool // indexes of chosen victims
 }
 
 func newVictimSearch(req *Request, nodes []*Node, victims *Victims, candidates *candidates) *victimSearch {
-	return &victimSearch{req: req, nodes: nodes, victims: victims, candidates: candidates}
+	return &victimSearch{
+		req: req, nodes: nodes, victims: victims, candidates: candidates, shortfall: req.Shortfall, chosen: map[int]bool{},
+	}
 }
 
 func (s *victimSearch) run() *Preemption {
@@ -195,11 +211,11 @@
 		s.available[n] = n.Free
 		s.slots += s.req.slots(n, n.Free)
 	}
-	chosen, cost := s.choose()
-	if s.slots < s.req.Tasks {
+	chosen := append(s.chooseOwn(), s.choose()...)
+	if !s.fits() {
 		return nil
 	}
-	chosen, cost = s.dropUnneeded(chosen, cost)
+	chosen, cost := s.dropUnneeded(chosen)
 	p := &Preemption{Claims: assignClaims(s.req, s.nodes, s.available), cost: cost}
 	for _, c := range chosen {
 		p.Victims = append(p.Victims, s.victims.list[c.victim])
@@ -208,20 +224,80 @@
 	return p
 }
 
-// choose adds the cheapest candidates until the request fits.
-func (s *victimSearch) choose() (chosen []candidate, cost float64) {
+// fits reports whether the request fits once the chosen victims have stopped.
+func (s *victimSearch) fits() bool {
+	return s.slots >= s.req.Tasks && s.shortfall.Fits(work.Resources{})
+}
+
+// chooseOwn adds the cheapest victims of the request's owner until they free the shortfall. Those
+// on the workers of the search go first as long as the request needs their room as well.
+func (s *victimSearch) chooseOwn() (chosen []candidate) {
+	if s.shortfall.Fits(work.Resources{}) {
+		return nil
+	}
+	own := s.victims.byOwner[s.req.Owner].byCost()
+	add := func(wanted func(candidate) bool) {
+		for _, c := range own {
+			if s.shortfall.Fits(work.Resources{}) {
+				return
+			}
+			if !s.chosen[c.victim] && !s.victims.taken[c.victim] && s.refunds(c) && wanted(c) {
+				s.add(c)
+				chosen = append(chosen, c)
+			}
+		}
+	}
+	add(func(c candidate) bool { return s.slots < s.req.Tasks && s.isHere(c) })
+	add(func(candidate) bool { return true })
+	return chosen
+}
+
+// isHere reports whether a candidate frees resources of the workers of the search.
+func (s *victimSearch) isHere(c candidate) bool {
+	return slices.ContainsFunc(c.freed, func(f Freed) bool { _, ok := s.available[f.Node]; return ok })
+}
+
+// refunds reports whether a victim frees a resource of which the request's owner is short.
+func (s *victimSearch) refunds(c candidate) bool {
+	r := s.victims.list[c.victim].Refund
+	short := func(refund, shortfall int) bool { return refund > 0 && shortfall > 0 }
+	return short(r.CPU, s.shortfall.CPU) || short(r.MemoryMB, s.shortfall.MemoryMB) || short(r.Accelerators, s.shortfall.Accelerators)
+}
+
+// choose adds the cheapest candidates until there is room for the request.
+func (s *victimSearch) choose() (chosen []candidate) {
+	if !s.shortfall.Fits(work.Resources{}) {
+		return nil // the owner must not use the room that others would give
+	}
 	for _, c := range s.candidates.byCost() {
 		if s.slots >= s.req.Tasks {
 			break
 		}
-		if s.victims.taken[c.victim] {
+		if s.victims.taken[c.victim] || s.chosen[c.victim] {
 			continue
 		}
-		s.apply(c, work.Resources.Plus)
+		s.add(c)
 		chosen = append(chosen, c)
-		cost += s.victims.list[c.victim].Cost
 	}
-	return chosen, cost
+	return chosen
+}
+
+// add chooses a candidate.
+func (s *victimSearch) add(c candidate) {
+	s.chosen[c.victim] = true
+	s.apply(c, work.Resources.Plus)
+	if v := s.victims.list[c.victim]; v.Owner == s.req.Owner {
+		s.shortfall = s.shortfall.Minus(v.Refund)
+	}
+}
+
+// remove undoes add.
+func (s *victimSearch) remove(c candidate) {
+	delete(s.chosen, c.victim)
+	s.apply(c, work.Resources.Minus)
+	if v := s.victims.list[c.victim]; v.Owner == s.req.Owner {
+		s.shortfall = s.shortfall.Plus(v.Refund)
+	}
 }
 
 // apply changes the available resources by those of a candidate, and updates slots.
@@ -239,18 +315,17 @@
 
 // dropUnneeded removes victims that turn out not to be needed, costliest first. It
 // returns the remaining victims and their total cost.
-func (s *victimSearch) dropUnneeded(chosen []candidate, cost float64) ([]candidate, float64) {
+func (s *victimSearch) dropUnneeded(chosen []candidate) (needed []candidate, cost float64) {
 	costOf := func(c candidate) float64 { return s.victims.list[c.victim].Cost }
 	slices.SortStableFunc(chosen, func(x, y candidate) int { return cmp.Compare(costOf(y), costOf(x)) })
-	needed := chosen[:0:0]
 	for _, c := range chosen {
-		s.apply(c, work.Resources.Minus)
-		if s.slots >= s.req.Tasks {
-			cost -= costOf(c)
+		s.remove(c)
+		if s.fits() {
 			continue
 		}
-		s.apply(c, work.Resources.Plus)
+		s.add(c)
 		needed = append(needed, c)
+		cost += costOf(c)
 	}
 	return needed, cost
 }
--- a/internal/engine/scheduler/drain.go
+++ b/internal/engine/scheduler/drain.go
@@ -80,21 +80,26 @@
 func (w *worker) releases(now time.Duration) []plan.Release {
 	out := make([]plan.Release, 0, len(w.runs))
 	for _, r := range w.runs {
-		release := plan.Release{Resources: r.demand}
-		switch {
-		case r.stopping || r.job == nil:
-		case r.startedAt == 0 && !r.step().LongRunning:
-			release.In = time.Duration(r.step().EstimateMS) * time.Millisecond
-		case r.speed.last <= 0:
-			release.In = max(r.remainingTime(now), (now-r.startedAt)/2)
-		default:
-			release.In = r.remainingTime(now)
-		}
-		out = append(out, release)
+		out = append(out, r.release(now))
 	}
 	return out
 }
 
+// release returns when the resources of the run are expected to be free.
+func (r *run) release(now time.Duration) plan.Release {
+	release := plan.Release{Resources: r.demand}
+	switch {
+	case r.stopping || r.job == nil:
+	case r.startedAt == 0 && !r.step().LongRunning:
+		release.In = time.Duration(r.step().EstimateMS) * time.Millisecond
+	case r.speed.last <= 0:
+		release.In = max(r.remainingTime(now), (now-r.startedAt)/2)
+	default:
+		release.In = r.remainingTime(now)
+	}
+	return release
+}
+
 // remainingTime returns the remaining time of a run by its speed, or by the estimate of
 // its step while no speed is known.
 func (r *run) remainingTime(now time.Duration) time.Duration {
--- a/internal/engine/scheduler/incarnations.go
+++ b/internal/engine/scheduler/incarnations.go
@@ -62,6 +62,7 @@
 func (t *term) addWorker(key string) *worker {
 	w := &worker{
 		key: key, runs: map[work.RunName]*run{}, bestEffort: map[*run]bool{}, latencySensitive: map[*run]bool{}, awaitingPause: map[*run]time.Duration{},
+		quota: t.quota,
 	}
 	t.workers[key] = w
 	id := work.WorkerID(key)
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -37,7 +37,7 @@
 		return
 	}
 	now := t.Now()
-	if r.stopping || !t.mayOrder() || !t.usable(r.worker, now) {
+	if r.stopping || !t.mayOrder() || !t.usable(r.worker, now) || t.exceedsCap(r) {
 		t.log.Info("a planned run is not started", zap.Stringer("run", r.name), zap.String("worker", r.worker.key), zap.Bool("stopping", r.stopping))
 		t.endRun(r, workers.EndedStopped, "")
 		return
@@ -176,7 +176,7 @@
 	}
 	r.stopping = true
 	if r.worker.runs[r.name] == r {
-		r.worker.stoppingRuns++
+		r.worker.noteStopping(r)
 	}
 	t.mark(r.worker)
 }
--- a/internal/engine/scheduler/pacing.go
+++ b/internal/engine/scheduler/pacing.go
@@ -173,11 +173,11 @@
 func (t *term) placeSharing(s *plan.Snapshot, q readyStep, placed int, request *plan.Request, waited time.Duration, exclusions []map[string]bool) []*plan.Node {
 	step := request.Step
 	mayShare := !step.Gang && (step.LatencySensitive || step.Pausable())
-	if !mayShare || placed == len(q.tasks) || waited < sharingDelay {
+	if !mayShare || placed == request.Tasks || waited < sharingDelay {
 		return nil
 	}
 	shared := *request
-	shared.Tasks, shared.SharesWorkers, shared.AnyRack = len(q.tasks)-placed, true, true
+	shared.Tasks, shared.SharesWorkers, shared.AnyRack = request.Tasks-placed, true, true
 	return placeExcluding(s, q, &shared, exclusions)
 }
 
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -49,6 +49,9 @@
 	// guaranteed reports whether the job is urgent and its organisation needs no more
 	// accelerators than it is guaranteed.
 	guaranteed bool
+	// withinRate and share order the step among those of its priority, see package quota.
+	withinRate bool
+	share      float64
 }
 
 // planQueue places the waiting tasks on workers. It does nothing while an append is in
@@ -64,13 +67,17 @@
 	queue := t.readySteps(now, over)
 	if len(queue) == 0 {
 		clear(t.underusedSince)
+		t.recordCaps(nil, nil, now)
 		return
 	}
 	t.nextPlanAt = min(t.nextPlanAt, now+replanInterval)
 	rests := t.rests(now)
 	snapshots := t.snapshots(now)
+	t.beginCapPass(snapshots, now)
+	t.orderQueue(queue)
 	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), rests: rests, underusedSince: map[*plan.Snapshot]time.Duration{},
-		overGuarantee: over, victimPools: map[victimClass]*victimPool{}}
+		overGuarantee: over, victimPools: map[victimClass]*victimPool{},
+		waiting: map[string]int{}, held: map[string]int{}}
 	t.updateSuspects(p)
 	for service, s := range snapshots {
 		t.noteUse(service, s, p)
@@ -78,6 +85,7 @@
 	for _, q := range queue {
 		if s := snapshots[q.job.Service]; s != nil {
 			s.Claim(q.request(), q.job.activeClaims(q.step, now))
+			t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		}
 	}
 	for _, q := range queue {
@@ -87,6 +95,7 @@
 		}
 		t.placeStep(s, q, p)
 	}
+	t.recordCaps(p.waiting, p.held, now)
 	t.metrics.planTime.Update(t.Now() - now)
 }
 
@@ -132,8 +141,7 @@
 	return out
 }
 
-// readySteps returns the steps whose tasks may be placed, in the order in which they are
-// placed.
+// readySteps returns the steps whose tasks may be placed, in no particular order.
 func (t *term) readySteps(now time.Duration, over map[string]bool) []readyStep {
 	var queue []readyStep
 	wallMS := t.WallClock().UnixMilli()
@@ -161,7 +169,6 @@
 			}
 		}
 	}
-	slices.SortFunc(queue, func(a, b readyStep) int { return compareReady(a, b, wallMS) })
 	return queue
 }
 
@@ -207,6 +214,11 @@
 	isolated map[string]*job
 	// reservations counts the steps for which resources are reserved.
 	reservations int
+	// waiting counts the tasks that were not placed, and held those of them that wait for their
+	// organisation's cap, by organisation.
+	waiting, held map[string]int
+	// ownReleases is the result of releasesByOrganisation, once it is needed.
+	ownReleases map[string][]plan.Release
 }
 
 // slowWorkers returns the workers whose runs were slow recently.
@@ -227,6 +239,12 @@
 	step, request := q.job.StepAt(q.step), q.request()
 	waited := now - q.job.waitingSince[q.step]
 	s.ReleaseClaims(request, q.job.activeClaims(q.step, now))
+	t.quota.Unpromise(q.job.Organisation, q.claimedResources(now))
+	room := t.roomInCap(q, p)
+	if room == 0 && !q.mayPreempt() {
+		t.hold(q, p)
+		return
+	}
 	if q.job.NeedsAdvice {
 		request.Allowed = t.workersNotDenied(s, q)
 	}
@@ -239,15 +257,11 @@
 	if p.isUnderused(s) && min(waited, now-p.underusedSince[s]) > maxReservationWait {
 		s.ReleaseReservations()
 	}
-	exclusions := t.exclusions(s, q, p)
-	restore := s.Lift(q.liftTime(waited))
-	nodes := placeExcluding(s, q, request, exclusions)
-	if len(nodes) == 0 && t.maySpread(s, q, request, p) {
-		request.AnyRack = true
-		nodes = placeExcluding(s, q, request, exclusions)
+	var nodes []*plan.Node
+	if room > 0 {
+		request.Tasks = room
+		nodes = t.placeInRoom(s, q, request, waited, p)
 	}
-	nodes = append(nodes, t.placeSharing(s, q, len(nodes), request, waited, exclusions)...)
-	restore()
 	if len(nodes) > 0 {
 		p.noteProbes(nodes)
 		t.assign(q, nodes, now)
@@ -264,18 +278,48 @@
 		delete(q.job.claims, q.step)
 		return
 	}
+	t.makeRoom(s, q, request, len(nodes), room, p)
+}
+
+// placeInRoom places as many tasks of the request as fit.
+func (t *term) placeInRoom(s *plan.Snapshot, q readyStep, request *plan.Request, waited time.Duration, p *planningPass) []*plan.Node {
+	exclusions := t.exclusions(s, q, p)
+	restore := s.Lift(q.liftTime(waited))
+	defer restore()
+	nodes := placeExcluding(s, q, request, exclusions)
+	if len(nodes) == 0 && t.maySpread(s, q, request, p) {
+		request.AnyRack = true
+		nodes = placeExcluding(s, q, request, exclusions)
+	}
+	return append(nodes, t.placeSharing(s, q, len(nodes), request, waited, exclusions)...)
+}
+
+// makeRoom requests advice, stops runs that must give way, or reserves resources for the tasks
+// that were not placed, given the number of those that were and of those that its organisation's
+// cap has room for.
+func (t *term) makeRoom(s *plan.Snapshot, q readyStep, request *plan.Request, placed, room int, p *planningPass) {
+	unplaced, step := *request, request.Step
+	unplaced.Tasks = len(q.tasks) - placed
+	p.waiting[q.job.Organisation] += unplaced.Tasks
+	inCap := max(room-placed, 0)
+	if unplaced.Tasks > inCap {
+		p.held[q.job.Organisation] += unplaced.Tasks - inCap
+	}
+	if inCap == 0 && !q.mayPreempt() {
+		return // the rest waits for the cap only
+	}
 	if q.job.NeedsAdvice {
-		t.requestAdvice(s, q, now)
+		t.requestAdvice(s, q, p.now)
 	}
-	unplaced := *request
-	unplaced.Tasks = len(q.tasks) - len(nodes)
-	if step.LatencySensitive {
-		t.stopBestEffortRuns(s, &unplaced)
+	if step.LatencySensitive && inCap > 0 {
+		sharing := unplaced
+		sharing.Tasks = inCap
+		t.stopBestEffortRuns(s, &sharing)
 	}
-	if (q.job.Priority == 0 || step.LongRunning) && t.preempt(s, q, &unplaced, p) {
+	if q.mayPreempt() && t.preempt(s, q, &unplaced, inCap, p) {
 		return
 	}
-	if step.Gang && p.reservations < maxReservations {
+	if step.Gang && inCap > 0 && p.reservations < maxReservations {
 		p.reservations++
 		s.Reserve(&unplaced)
 	}
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
+	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
 // preemptRetrySlack is added to StopTimeout to get the time after which more runs may be
@@ -28,6 +29,8 @@
 	service    string
 	priority   int
 	guaranteed bool
+	// organisation is set if its own runs must give way first, those of other services included.
+	organisation string
 }
 
 // victimPool holds the runs that requests of one class may stop.
@@ -39,42 +42,39 @@
 
 // victimPool returns the runs that may be stopped for the step. The pool is computed once
 // per planning pass and class, because it contains most runs of the service.
-func (t *term) victimPool(s *plan.Snapshot, q readyStep, p *planningPass) *victimPool {
+func (t *term) victimPool(s *plan.Snapshot, q readyStep, ownFirst bool, p *planningPass) *victimPool {
 	class := victimClass{service: q.job.Service, priority: q.job.Priority, guaranteed: q.guaranteed}
+	if ownFirst {
+		class.organisation = q.job.Organisation
+	}
 	pool := p.victimPools[class]
 	if pool == nil {
-		pool = &victimPool{runs: t.preemptibleRuns(q, p.overGuarantee)}
+		pool = &victimPool{runs: t.preemptibleRuns(q, p.overGuarantee, ownFirst)}
 		var victims []plan.Victim
-		victims, pool.units = t.victims(s, pool.runs, p.now)
+		victims, pool.units = t.victims(s, pool.runs, class.organisation, p.now)
 		pool.set = plan.NewVictims(victims)
 		p.victimPools[class] = pool
 	}
 	return pool
 }
 
-// preempt stops runs so that the request fits. It reports whether resources are being
-// freed for the request.
-func (t *term) preempt(s *plan.Snapshot, q readyStep, request *plan.Request, p *planningPass) bool {
+// preempt stops runs so that the request fits, of which the organisation's cap has room for inCap
+// tasks. It reports whether resources are being freed for the request.
+func (t *term) preempt(s *plan.Snapshot, q readyStep, request *plan.Request, inCap int, p *planningPass) bool {
 	now := p.now
 	if claims := q.job.activeClaims(q.step, now); claims != nil && s.HasWorkers(claims) {
 		s.Claim(request, claims)
+		t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		return true
 	}
 	delete(q.job.claims, q.step)
-	pool := t.victimPool(s, q, p)
-	s.Exclude(p.resting())
-	preemption := s.Preempt(request, pool.set)
-	// Tasks that need not start together get resources for as many as preemption allows.
-	for part := *request; preemption == nil && !part.Step.Gang && part.Tasks > 1; {
-		part.Tasks /= 2
-		preemption = s.Preempt(&part, pool.set)
-	}
-	s.RestoreExcluded()
+	preemption, pool := t.findVictims(s, q, request, inCap, p)
 	if preemption == nil {
 		return false
 	}
 	q.job.claims[q.step] = claim{expiresAt: now + t.bounds.StopTimeout + preemptRetrySlack, tasks: preemption.Claims}
 	s.Claim(request, preemption.Claims)
+	t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 	pool.set.Take(preemption)
 	p.keepOnlyPool(pool)
 	for _, v := range preemption.Victims {
@@ -89,6 +89,33 @@
 	return true
 }
 
+// findVictims returns runs that make room for the request, and the pool that they are from. Tasks
+// that need not start together get room for as many as preemption allows. Where the cap is what
+// the request lacks, runs of its own organisation must give way first: it could not use the room
+// of others.
+func (t *term) findVictims(s *plan.Snapshot, q readyStep, request *plan.Request, inCap int, p *planningPass) (*plan.Preemption, *victimPool) {
+	if !t.capIsConfirmed(q.job.Organisation) {
+		return nil, nil
+	}
+	part := *request
+	part.Owner = q.job.Organisation
+	for {
+		part.Shortfall = t.quota.Shortfall(part.Owner, part.Step.Demand, part.Tasks)
+		pool := t.victimPool(s, q, part.Shortfall != (work.Resources{}), p)
+		s.Exclude(p.resting())
+		preemption := s.Preempt(&part, pool.set)
+		s.RestoreExcluded()
+		if preemption != nil || part.Step.Gang || part.Tasks <= 1 {
+			return preemption, pool
+		}
+		if fewer := part.Tasks / 2; inCap > fewer && inCap < part.Tasks {
+			part.Tasks = inCap
+		} else {
+			part.Tasks = fewer
+		}
+	}
+}
+
 // keepOnlyPool drops the other pools, which may contain runs that were stopped meanwhile.
 func (p *planningPass) keepOnlyPool(pool *victimPool) {
 	for class, other := range p.victimPools {
@@ -123,13 +150,15 @@
 
 // preemptibleRuns returns the runs of the same service that may be stopped for the step,
 // by unit. These are runs of lower priority and, for guaranteed steps, also urgent runs
-// of organisations that need more than they are guaranteed.
-func (t *term) preemptibleRuns(q readyStep, over map[string]bool) map[preemptionUnit][]*run {
+// of organisations that need more than they are guaranteed. With ownFirst, runs of the step's own
+// organisation in other services are included: they count towards its cap.
+func (t *term) preemptibleRuns(q readyStep, over map[string]bool, ownFirst bool) map[preemptionUnit][]*run {
 	out := map[preemptionUnit][]*run{}
 	allowance := map[jobStep]int{}
 	for _, j := range t.jobs {
 		preemptible := j.Priority > q.job.Priority || (q.guaranteed && j.Priority == 0 && over[j.Organisation])
-		if j.Service != q.job.Service || !preemptible {
+		ofService := j.Service == q.job.Service || (ownFirst && j.Organisation == q.job.Organisation)
+		if !ofService || !preemptible {
 			continue
 		}
 		for r := range j.runs {
@@ -224,8 +253,9 @@
 	}
 }
 
-// victims returns a victim for each unit, and the units indexed by the ID of the victim.
-func (t *term) victims(s *plan.Snapshot, runs map[preemptionUnit][]*run, now time.Duration) ([]plan.Victim, []preemptionUnit) {
+// victims returns a victim for each unit, and the units indexed by the ID of the victim. Units that
+// free nothing in the snapshot are left out unless they are of the given organisation.
+func (t *term) victims(s *plan.Snapshot, runs map[preemptionUnit][]*run, organisation string, now time.Duration) ([]plan.Victim, []preemptionUnit) {
 	nodes := make(map[string]*plan.Node, len(s.Nodes))
 	for _, n := range s.Nodes {
 		nodes[n.Key] = n
@@ -233,10 +263,11 @@
 	victims := make([]plan.Victim, 0, len(runs))
 	units := make([]preemptionUnit, 0, len(runs))
 	for u, members := range runs {
-		v := plan.Victim{ID: len(units)}
+		v := plan.Victim{ID: len(units), Owner: u.job.Organisation}
 		slices.SortFunc(members, func(a, b *run) int { return cmp.Compare(a.worker.key, b.worker.key) })
 		for _, r := range members {
 			v.Cost += t.stopCost(r, now)
+			v.Refund = v.Refund.Plus(r.demand)
 			n := nodes[r.worker.key]
 			if n == nil {
 				continue
@@ -247,7 +278,7 @@
 			}
 			v.Freed = append(v.Freed, plan.Freed{Node: n, Resources: r.demand})
 		}
-		if len(v.Freed) == 0 {
+		if len(v.Freed) == 0 && (organisation == "" || v.Owner != organisation) {
 			continue
 		}
 		victims = append(victims, v)
--- a/internal/engine/scheduler/reports.go
+++ b/internal/engine/scheduler/reports.go
@@ -58,7 +58,7 @@
 	r := t.findRun(w, entry.Run)
 	if r == nil {
 		t.log.Warn("a worker has a run without a record; stopping it", zap.String("worker", w.key), zap.Stringer("run", entry.Run))
-		r = &run{name: entry.Run, worker: w, demand: t.taskDemand(entry.Run.Task), phase: runStarted}
+		r = &run{name: entry.Run, worker: w, demand: t.taskDemand(entry.Run.Task), organisation: t.organisationOf(entry.Run.Task), phase: runStarted}
 		w.addRun(r)
 		t.requestStop(r)
 	}
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/health"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
+	"github.com/daisyfold/daisyfold/internal/engine/quota"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 )
@@ -100,7 +101,9 @@
 	job    *job
 	worker *worker
 	demand work.Resources
-	phase  runPhase
+	// organisation is charged for the run; it is known for most runs without a job as well.
+	organisation string
+	phase        runPhase
 	// startSentAt is when the first attempt of the start was sent in this term; 0 if none was.
 	startSentAt time.Duration
 	// startResolvedAt is when the start was answered or given up. Reports requested later
@@ -183,6 +186,8 @@
 	lateStartsUntil time.Duration
 	runs            map[work.RunName]*run
 	used            work.Resources
+	// quota is the ledger of the term, which is charged for the runs.
+	quota *quota.Ledger
 	// endsSeen, endsRecorded and endsAcked are the numbers of the last ends of runs that
 	// were processed, that are recorded in the store, and that a poll answered by this
 	// incarnation has acknowledged.
@@ -248,8 +253,12 @@
 func (w *worker) addRun(r *run) {
 	w.runs[r.name] = r
 	w.used = w.used.Plus(r.demand)
+	if r.job != nil {
+		r.organisation = r.job.Organisation
+	}
+	w.quota.Charge(r.organisation, r.demand)
 	if r.stopping {
-		w.stoppingRuns++
+		w.noteStopping(r)
 	}
 	if r.job == nil {
 		return
@@ -269,7 +278,9 @@
 	w.used = w.used.Minus(r.demand)
 	if r.stopping {
 		w.stoppingRuns--
+		w.quota.ReleaseStopping(r.organisation, r.demand)
 	}
+	w.quota.Release(r.organisation, r.demand)
 	if r.job == nil {
 		return
 	}
@@ -278,6 +289,12 @@
 	delete(w.awaitingPause, r)
 }
 
+// noteStopping notes that one of the worker's runs is to be stopped.
+func (w *worker) noteStopping(r *run) {
+	w.stoppingRuns++
+	w.quota.ChargeStopping(r.organisation, r.demand)
+}
+
 // node returns the worker as a node of a planning snapshot.
 func (w *worker) node() *plan.Node {
 	n := &plan.Node{
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -55,6 +55,7 @@
 	newWorkerList(t).Reset(list)
 	t.drainEvents()
 	t.zonesOut = t.Operator.ZonesOut()
+	t.updateCaps()
 	t.updateWaves()
 	t.inheritJobs(runs)
 	t.tookOver = true
@@ -111,7 +112,9 @@
 			states[id] = setChunk(states[id], chunk, r.Value)
 		}
 	}
-	for id, e := range t.Jobs.All() {
+	entries := t.Jobs.All()
+	for _, id := range byAcceptance(entries) {
+		e := entries[id]
 		if e.Job == nil {
 			if e.Unreadable {
 				delete(states, id)
@@ -119,6 +122,7 @@
 			continue
 		}
 		j := t.inheritJob(e, states[id])
+		t.noteUnseenRuns(j)
 		delete(states, id)
 		if e.Cancelled {
 			t.cancel(j)
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/blame"
+	"github.com/daisyfold/daisyfold/internal/engine/quota"
 	"github.com/daisyfold/daisyfold/internal/engine/recovery"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -89,6 +90,9 @@
 	firstPolls     firstPolls
 	startQueue     startQueue
 	stopsInFlight  inFlight[*run]
+	// quota is charged for the runs of all workers.
+	quota *quota.Ledger
+	caps  capState
 	// nextPlanAt is when to plan again if nothing else requires it.
 	nextPlanAt time.Duration
 	recorder
@@ -104,10 +108,11 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
+	defer t.removeOrganisationGauges()
 	t.waves = waveState{active: map[string]*activeWave{}, writer: topicWriter{topic: t.StatusTopic}}
 	if err := t.takeOver(); err != nil {
 		return err
@@ -200,6 +205,7 @@
 		t.checkIsolation(now)
 		t.forgetExpiredJobs()
 		t.checkWaves(now)
+		t.checkCaps(now)
 	}
 	t.checkMarkedWorkers(now)
 	t.sendFirstPolls(now)
@@ -255,6 +261,7 @@
 func (t *term) addJob(submitted *work.Job, state *work.State) *job {
 	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, moves: map[work.TaskName]int{}, starts: map[int]*retry{}, waitingSince: map[int]time.Duration{}, spreadableSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
 	t.jobs[submitted.ID] = j
+	t.quota.NoteJob(submitted.Organisation, submitted.ID, submitted.AcceptedMS)
 	return j
 }
 
@@ -290,6 +297,7 @@
 	for id, j := range t.jobs {
 		if j.state.Status.Ended() && j.state.EndedMS < oldest && len(j.runs) == 0 {
 			delete(t.jobs, id)
+			t.quota.ForgetJob(id)
 			t.forget(id)
 		}
 	}
@@ -310,6 +318,7 @@
 // applyOperatorChanges applies the operator's changes to zones and upkeep waves.
 func (t *term) applyOperatorChanges() {
 	t.zonesOut = t.Operator.ZonesOut()
+	t.updateCaps()
 	t.updateWaves()
 	t.needsPlanning = true
 }
