--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/manifest"
+	"github.com/daisyfold/daisyfold/internal/engine/quota"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -141,27 +142,27 @@
 }
 
 // admit returns the queue of a call and the organisation that holds its key, or the answer
-// to a call that is refused. The organisation is empty for a public queue.
-func (s *Service) admit(c Call) (*manifest.Queue, string, *Answer) {
+// to a call that is refused. The organisation is nil for a public queue.
+func (s *Service) admit(c Call) (*manifest.Queue, *manifest.Organisation, *Answer) {
 	view := s.Operator.View()
 	if view.Manifest == nil {
-		return nil, "", &Answer{Outcome: TryLater, Reason: "no manifest yet", RetryAfter: retryAfter}
+		return nil, nil, &Answer{Outcome: TryLater, Reason: "no manifest yet", RetryAfter: retryAfter}
 	}
 	queue := view.Manifest.Route(c.Host, c.Path)
 	if queue == nil {
-		return nil, "", &Answer{Outcome: NoQueue, Reason: "no queue matches the host and path"}
+		return nil, nil, &Answer{Outcome: NoQueue, Reason: "no queue matches the host and path"}
 	}
 	if queue.Public {
-		return queue, "", nil
+		return queue, nil, nil
 	}
 	if !view.StalenessKnown || view.Staleness > time.Duration(s.maxKeyStalenessNS.Load()) {
-		return nil, "", &Answer{Outcome: TryLater, Reason: "the manifest cannot be confirmed", RetryAfter: retryAfter}
+		return nil, nil, &Answer{Outcome: TryLater, Reason: "the manifest cannot be confirmed", RetryAfter: retryAfter}
 	}
 	organisation := view.Manifest.OrganisationByKey(c.Key)
 	if organisation == nil {
-		return nil, "", &Answer{Outcome: BadKey, Reason: "no organisation holds this key"}
+		return nil, nil, &Answer{Outcome: BadKey, Reason: "no organisation holds this key"}
 	}
-	return queue, organisation.Name, nil
+	return queue, organisation, nil
 }
 
 // Submit accepts a job. The caller sets the job's id, steps, spec and times; the other
@@ -181,6 +182,9 @@
 	if refused != nil {
 		return *refused
 	}
+	if organisation == nil {
+		organisation = &manifest.Organisation{}
+	}
 	if queue.NeedsAdvice && !s.HasAdvisor {
 		return Answer{Outcome: BadJob, Reason: "the queue needs advice, and the settings name no advice service"}
 	}
@@ -190,10 +194,13 @@
 	if e, known := s.Jobs.Get(job.ID); known && (e.Job != nil || e.Unreadable) {
 		return Answer{Outcome: OK, Reason: "already accepted"}
 	}
+	if err := quota.CheckJob(organisation, job); err != nil {
+		return s.rejectUnlessAccepted(ctx, job.ID, err)
+	}
 	if err := job.CheckStateSize(s.StoreLimits.RecordBytes, s.StoreLimits.CallBytes); err != nil {
 		return Answer{Outcome: BadJob, Reason: err.Error()}
 	}
-	job.Queue, job.Service, job.Organisation = queue.ID(), queue.Service, organisation
+	job.Queue, job.Service, job.Organisation = queue.ID(), queue.Service, organisation.Name
 	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
@@ -205,6 +212,19 @@
 	return s.write(ctx, record)
 }
 
+// rejectUnlessAccepted rejects a job that its organisation's cap can never hold. An earlier attempt
+// may have been accepted by another host when the cap was higher.
+func (s *Service) rejectUnlessAccepted(ctx context.Context, id string, reason error) Answer {
+	e, known, refused := s.lookup(ctx, id)
+	switch {
+	case refused != nil:
+		return *refused
+	case known && (e.Job != nil || e.Unreadable):
+		return Answer{Outcome: OK, Reason: "already accepted"}
+	}
+	return Answer{Outcome: BadJob, Reason: reason.Error()}
+}
+
 // Cancel cancels a job. It succeeds if the job has already ended.
 func (s *Service) Cancel(ctx context.Context, c Call, id string) Answer {
 	start := time.Now()
--- a/internal/engine/quota/check.go
+++ b/internal/engine/quota/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -10,11 +11,8 @@
 )
 
 // CheckJob returns an error that names the step and the limit if the organisation's cap can never
-// hold a gang or a single task of the job. o is nil if the job has no organisation.
+// hold a gang or a single task of the job.
 func CheckJob(o *manifest.Organisation, job *work.Job) error {
-	if o == nil {
-		return nil
-	}
 	for i := range job.Steps {
 		s := &job.Steps[i]
 		tasks, what := 1, "a task"
@@ -23,39 +21,22 @@
 		}
 		if !holds(o.Cap, s.Demand, tasks) {
 			need := s.Demand.Times(tasks)
-			return trace.BadParameter("step %d: %s needs %s, and the organisation may have %s running", i, what, describe(need), describe(o.Cap))
+			return trace.BadParameter("step %d: %s needs %s; the cap of the organisation is %s", i, what, describe(need), describe(o.Cap))
 		}
 	}
 	return nil
 }
 
+// describe returns the amounts of the resources for a caller. It leaves out what is not limited.
 func describe(r work.Resources) string {
-	return fmt.Sprintf("%d thousandths of a core, %d MB and %d accelerators", r.CPU, r.MemoryMB, r.Accelerators)
-}
-
-// Findings returns the contradictions of a manifest about organisations, each with its place. The
-// manifest is in force in spite of them: caps hold before guarantees.
-func Findings(m *manifest.Manifest) []string {
-	var out []string
-	add := func(i int, format string, args ...any) {
-		out = append(out, fmt.Sprintf("organisation %d (%s): ", i, m.Organisations[i].Name)+fmt.Sprintf(format, args...))
-	}
-	weighted := false
-	for _, o := range m.Organisations {
-		weighted = weighted || o.Weight > 0
-	}
-	seen := map[string]bool{}
-	for i, o := range m.Organisations {
-		if limit := o.Cap.Accelerators; limit > 0 && limit < o.GuaranteedAccelerators {
-			add(i, "the cap of %d accelerators is below the guarantee of %d", limit, o.GuaranteedAccelerators)
-		}
-		if weighted && o.Weight == 0 {
-			add(i, "no weight, although others have one; it counts as %d", defaultWeight)
-		}
-		if seen[o.Name] {
-			add(i, "the name occurs twice; the last entry holds")
+	var parts []string
+	for _, p := range [...]struct {
+		amount int
+		unit   string
+	}{{r.CPU, "thousandths of a core"}, {r.MemoryMB, "MB"}, {r.Accelerators, "accelerators"}} {
+		if p.amount > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", p.amount, p.unit))
 		}
-		seen[o.Name] = true
 	}
-	return out
+	return strings.Join(parts, ", ")
 }
--- a/internal/engine/quota/ledger.go
+++ b/internal/engine/quota/ledger.go
@@ -10,9 +10,6 @@
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
-// defaultWeight is the weight of an organisation for which a manifest with weights sets none.
-const defaultWeight = 1
-
 // Ledger is the use of all workers by organisation. Each operation takes constant time.
 type Ledger struct {
 	accounts map[string]*account
@@ -54,10 +51,9 @@
 // SetManifest replaces the limits. An organisation that the manifest no longer names keeps its
 // last ones: its accepted jobs go on, and a missing entry does not lift a cap.
 func (l *Ledger) SetManifest(m *manifest.Manifest) {
-	l.weighted = false
+	l.weighted = m.Weighted()
 	for _, o := range m.Organisations {
 		l.account(o.Name).organisation = o
-		l.weighted = l.weighted || o.Weight > 0
 	}
 }
 
--- a/internal/engine/quota/share.go
+++ b/internal/engine/quota/share.go
@@ -1,6 +1,9 @@
 package quota
 
-import "github.com/daisyfold/daisyfold/internal/engine/work"
+import (
+	"github.com/daisyfold/daisyfold/internal/engine/manifest"
+	"github.com/daisyfold/daisyfold/internal/engine/work"
+)
 
 // Share returns the largest fraction of any resource of all workers that the organisation uses,
 // divided by its weight; 0 if the manifest sets no weights.
@@ -19,7 +22,7 @@
 	if a.organisation.Weight > 0 {
 		return a.organisation.Weight
 	}
-	return defaultWeight
+	return manifest.DefaultWeight
 }
 
 // dominantShare returns the largest fraction of any resource of all workers.
--- a/internal/engine/replica/operator.go
+++ b/internal/engine/replica/operator.go
@@ -143,6 +143,9 @@
 func (o *Operator) applyChange(c OperatorChange) {
 	if m := c.Manifest; m != nil && (o.manifest == nil || m.Version > o.manifest.Version) {
 		o.log.Info("manifest in force", zap.Int64("version", m.Version), zap.Int("queues", len(m.Queues)))
+		for _, f := range m.Findings() {
+			o.log.Warn("manifest contradicts itself", zap.Int64("version", m.Version), zap.String("finding", f))
+		}
 		o.manifest = m
 	}
 	if c.WaveKey != "" {
