Count rates over the platform's window, and stop nothing for what lies beyond

Change: the bucket holds what may come in 5 s; urgent jobs beyond the rate and the guarantee wait for free room. The log says which jobs are within the rate.

--- a/internal/engine/quota/rate.go
+++ b/internal/engine/quota/rate.go
@@ -1,7 +1,11 @@
 package quota
 
+// rateWindowS is the time in seconds over which an organisation's jobs are counted: the window over
+// which the platform judges limits.
+const rateWindowS = 5
+
 // bucket is a token bucket of an organisation's jobs. It holds as many tokens as the organisation
-// may send jobs in a second, and at least one.
+// may send jobs in rateWindowS, and at least one.
 type bucket struct {
 	tokens   float64
 	filledMS int64 // Unix milliseconds; 0 before the first job
@@ -9,7 +13,7 @@
 
 // take removes a token and reports whether there was one.
 func (b *bucket) take(rate float64, nowMS int64) bool {
-	size := max(rate, 1)
+	size := max(rateWindowS*rate, 1)
 	if b.filledMS == 0 {
 		b.tokens = size
 	}
--- a/internal/engine/scheduler/caps.go
+++ b/internal/engine/scheduler/caps.go
@@ -194,8 +194,13 @@
 	return 1
 }
 
-// mayPreempt reports whether runs may be stopped for the step.
-func (q readyStep) mayPreempt() bool { return q.job.Priority == 0 || q.job.StepAt(q.step).LongRunning }
+// mayPreempt reports whether runs may be stopped for the step: for long-running tasks, and for urgent
+// ones that are guaranteed or within the rate of their organisation. What it sends beyond that waits
+// for free room.
+func (q readyStep) mayPreempt() bool {
+	urgent := q.job.Priority == 0 && (q.guaranteed || q.withinRate)
+	return urgent || q.job.StepAt(q.step).LongRunning
+}
 
 // roomInCap returns how many of the step's tasks its organisation's cap leaves room for; 0 if a
 // gang does not fit. A step that waits for the cap does not wait for workers meanwhile.
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -249,6 +249,7 @@
 			t.lastJobAt = t.Now()
 			t.log.Info("job seen", zap.String("job", id), zap.Int("priority", j.Priority),
 				zap.Int("steps", j.StepCount()), zap.Int("tasks", j.Steps[0].Tasks), zap.Int("chain_ms", j.CriticalPathMS()),
+				zap.String("organisation", j.Organisation), zap.Bool("within_rate", t.quota.WithinRate(id)),
 				zap.Int64("objective_ms", j.DeadlineMS(0)-j.AcceptedMS), zap.Int64("age_ms", t.WallClock().UnixMilli()-j.AcceptedMS))
 		}
 		if e.Cancelled {
