Do not wait for room in a cap that is half empty

Cause: while an organisation uses less than half of its cap and the workers are half empty, the platform expects each waiting job to start within 3 s, also behind a gang that waits for the cap. Change: such steps wait for that room 1.5 s at most. The manifest's age is looked up for capped organisations only. Measured: go test ./internal/engine -run 'Cap|Shares|Guaranteed|Takeover': ok.

--- a/internal/engine/quota/ledger.go
+++ b/internal/engine/quota/ledger.go
@@ -167,6 +167,13 @@
 	return only(over, a.organisation.Cap, demand)
 }
 
+// UsesUnderHalf reports whether the organisation uses less than half of its cap of each resource.
+func (l *Ledger) UsesUnderHalf(organisation string) bool {
+	a := l.account(organisation)
+	over := positive(a.used.Times(2).Minus(a.organisation.Cap).Plus(work.Resources{CPU: 1, MemoryMB: 1, Accelerators: 1}))
+	return only(over, a.organisation.Cap, a.used) == (work.Resources{})
+}
+
 // Exceeded reports whether the organisation uses more than its cap of a resource that a task
 // needs.
 func (l *Ledger) Exceeded(organisation string, demand work.Resources) bool {
--- a/internal/engine/quota/ledger_test.go
+++ b/internal/engine/quota/ledger_test.go
@@ -98,6 +98,9 @@
 	if got := l.RoomBesideReservation("choir", accelerators(1), 5, 3*time.Second); got != 5 {
 		t.Errorf("room for %d short tasks, want 5", got)
 	}
+	if l.UsesUnderHalf("choir") || !l.UsesUnderHalf("guest") {
+		t.Error("half of a cap counts as less than half, or nothing does not")
+	}
 	l.BeginPass()
 	if got := l.RoomBesideReservation("choir", accelerators(1), 5, 5*time.Second); got != 5 {
 		t.Errorf("room for %d tasks in the next pass, want 5", got)
--- a/internal/engine/scheduler/caps.go
+++ b/internal/engine/scheduler/caps.go
@@ -54,15 +54,15 @@
 // capIsConfirmed reports whether the organisation's cap is known to be in force. While it is not,
 // its operators may have lowered it, and none of its tasks is started.
 func (t *term) capIsConfirmed(organisation string) bool {
-	view := t.Operator.View()
 	switch {
 	case organisation == "":
 		return true
-	case view.Manifest == nil:
+	case t.caps.manifest == nil:
 		return false
 	case !t.quota.IsCapped(organisation):
 		return true
 	}
+	view := t.Operator.View()
 	return view.StalenessKnown && view.Staleness <= maxCapStaleness
 }
 
@@ -204,7 +204,7 @@
 
 // roomInCap returns how many of the step's tasks its organisation's cap leaves room for; 0 if a
 // gang does not fit. A step that waits for the cap does not wait for workers meanwhile.
-func (t *term) roomInCap(q readyStep, p *planningPass) int {
+func (t *term) roomInCap(s *plan.Snapshot, q readyStep, p *planningPass) int {
 	organisation, step := q.job.Organisation, q.job.StepAt(q.step)
 	room := 0
 	if t.capIsConfirmed(organisation) {
@@ -215,11 +215,14 @@
 		return 0
 	}
 	waited := p.now - q.job.waitingSince[q.step]
-	room = t.quota.RoomBesideReservation(organisation, step.Demand, room, q.liftTime(waited))
-	if room < q.minTasks() {
+	if waited > maxReservationWait && p.isUnderused(s) && t.quota.UsesUnderHalf(organisation) {
+		return room // the platform expects a start
+	}
+	beside := t.quota.RoomBesideReservation(organisation, step.Demand, room, q.liftTime(waited))
+	if beside < q.minTasks() {
 		return 0
 	}
-	return room
+	return beside
 }
 
 // hold leaves a step waiting for its organisation's cap. It keeps no resources of workers. A gang
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -240,7 +240,7 @@
 	waited := now - q.job.waitingSince[q.step]
 	s.ReleaseClaims(request, q.job.activeClaims(q.step, now))
 	t.quota.Unpromise(q.job.Organisation, q.claimedResources(now))
-	room := t.roomInCap(q, p)
+	room := t.roomInCap(s, q, p)
 	if room == 0 && !q.mayPreempt() {
 		t.hold(q, p)
 		return
