--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -53,6 +53,7 @@
 	log             *zap.Logger
 	limits          store.Limits
 	manifestVersion int64
+	organisations   map[string]string  // by key, in the newest manifest
 	cpuShares       map[string]float64 // share of a core by host; 0 if a test does not set it
 	advisor         *standin.Advisor
 	machines        *standin.Machines
@@ -171,6 +172,13 @@
 	if c.platformFormat {
 		data = platformtest.EncodeManifest(m)
 	}
+	c.organisations = map[string]string{}
+	for _, o := range m.Organisations {
+		for _, key := range o.Keys {
+			c.organisations[key] = o.Name
+		}
+	}
+	c.fleet.Ledger().RecordManifest(m)
 	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
 }
 
@@ -341,7 +349,7 @@
 	c.t.Helper()
 	target := newCall("/" + queue + "/" + j.ID)
 	target.Key = key
-	j.MaxAttempts = 3
+	j.MaxAttempts, j.Organisation = 3, c.organisations[key]
 	c.fleet.RegisterJob(&j, behaviour)
 	for range 60 {
 		a := c.anyHost().Intake.Submit(c.t.Context(), target, j)
--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 
+	"github.com/daisyfold/daisyfold/internal/engine/manifest"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
@@ -94,7 +95,11 @@
 	// that the jobs and faults drawn from rng stay the same for a seed.
 	kindRNG *rand.Rand
 	// crashRNG selects the jobs with a task that crashes its workers; nil means none.
-	crashRNG  *rand.Rand
+	crashRNG *rand.Rand
+	// capRNG selects the organisations of jobs and the changes of the manifest; nil means one
+	// organisation and no changes.
+	capRNG    *rand.Rand
+	manifests []*manifest.Manifest // that were published because of capRNG
 	jobs      []plannedJob
 	waveCount int
 	// checksStarvation makes awaitAll report jobs that have nothing running.
@@ -107,7 +112,7 @@
 }
 
 // dayKind is what a random day has or checks in addition.
-type dayKind struct{ taskCrashes, checksStarvation bool }
+type dayKind struct{ taskCrashes, checksStarvation, caps bool }
 
 func simulateDay(t *testing.T, seed uint64, kind dayKind) {
 	log := zap.NewNop()
@@ -125,6 +130,10 @@
 		d.crashRNG = rand.New(rand.NewPCG(seed, 7))
 	}
 	defer d.close()
+	if kind.caps {
+		d.capRNG = rand.New(rand.NewPCG(seed, 13))
+		d.publishCaps(1)
+	}
 	end := time.Now().Add(dayDuration)
 	for n := 1; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(d.rng.IntN(800)) * time.Millisecond)
@@ -138,6 +147,12 @@
 		if d.crashRNG != nil && d.crashRNG.IntN(8) == 0 {
 			d.reduceCapacity()
 		}
+		if d.capRNG != nil && d.capRNG.IntN(6) == 0 {
+			d.changeCaps()
+		}
+	}
+	if d.capRNG != nil {
+		d.publishCaps(finalCapFactor)
 	}
 	time.Sleep(25 * time.Second) // wait for the last faults to end
 	d.clearFaults()
@@ -235,8 +250,9 @@
 	}
 	j = p.Job
 	d.jobs = append(d.jobs, p)
+	key := d.randomKey()
 	return func() {
-		d.submitTasks("key", queue, j, func(step, index int) standin.Behaviour {
+		d.submitTasks(key, queue, j, func(step, index int) standin.Behaviour {
 			task := b
 			task.CrashesWorker = crashes && step == 0 && index == 0
 			return task
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -42,6 +42,9 @@
 //     long-running, it may do so while it is paused, and otherwise for maxHarmTime on end.
 //   - ROUTE: more tasks of a step run on one worker than the step permits.
 //   - AVAIL: a task is stopped although too many tasks of its step are unavailable.
+//   - QUOTA: a task is started while the runs of its organisation on all workers, also those
+//     being stopped, are above its cap by more than capOveragePercent, in any resource. The highest cap
+//     of the manifests that may be in force counts.
 type Ledger struct {
 	mu           sync.Mutex
 	runs         map[work.TaskName][]*LedgerRun
@@ -50,11 +53,15 @@
 	violations   []string
 	// cancelledJobs holds the ids of jobs whose tasks may be stopped at any time.
 	cancelledJobs map[string]bool
+	// organisationUse is what the active runs of each organisation occupy.
+	organisationUse map[string]work.Resources
+	// capsVersions are the caps of the versions of the manifest, the newest last.
+	capsVersions []capsVersion
 }
 
 func newLedger() *Ledger {
 	return &Ledger{runs: map[work.TaskName][]*LedgerRun{}, active: map[*activeRun]*LedgerRun{}, usedCapacity: map[*Worker]work.Resources{},
-		cancelledJobs: map[string]bool{}}
+		cancelledJobs: map[string]bool{}, organisationUse: map[string]work.Resources{}}
 }
 
 // Violations returns the violations found so far.
@@ -137,6 +144,8 @@
 	if o.Spec != r.job.Spec {
 		l.addViolationLocked("UNASKED: %s starts with a spec other than its job's", task)
 	}
+	l.checkCap(w, r)
+	l.organisationUse[r.job.Organisation] = l.organisationUse[r.job.Organisation].Plus(entry.demand)
 	l.usedCapacity[w] = l.usedCapacity[w].Plus(entry.demand)
 	if !l.usedCapacity[w].Fits(w.permittedCapacity()) {
 		l.addViolationLocked("LIMIT: %s does not fit on %s", task, w.entry.ID)
@@ -294,6 +303,7 @@
 	delete(l.active, r)
 	entry.End, entry.Ending = time.Now(), ending
 	l.usedCapacity[r.worker] = l.usedCapacity[r.worker].Minus(entry.demand)
+	l.organisationUse[r.job.Organisation] = l.organisationUse[r.job.Organisation].Minus(entry.demand)
 }
 
 // isOn reports whether the run was on the worker's current incarnation.
--- a/internal/standin/starved.go
+++ b/internal/standin/starved.go
@@ -12,8 +12,9 @@
 
 // Starved returns what should run among the given jobs and does not: jobs without a run
 // that have a ready step, and long-running tasks, if there is free capacity for them twice
-// over and less than half of the capacity is in use. Workers in the given zones, and those
-// that drain, fail or stall runs, or cannot be reached, are not counted as free.
+// over, less than half of the capacity is in use, and their organisation uses less than half of its
+// cap. Workers in the given zones, and those that drain, fail or stall runs, or cannot be
+// reached, are not counted as free.
 func (f *Fleet) Starved(jobs []string, zonesOut map[string]bool) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -30,7 +31,7 @@
 	var starved []string
 	for _, id := range jobs {
 		j := f.jobs[id]
-		if j.Occurrences > 0 || j.NeedsAdvice {
+		if j.Occurrences > 0 || j.NeedsAdvice || f.ledger.isHeldByCap(j.Organisation) {
 			continue // the room that they can use is not known here
 		}
 		for s := range j.Steps {
