--- a/internal/engine/caps_test.go
+++ b/internal/engine/caps_test.go
@@ -41,7 +41,7 @@
 		c.publishManifest(withOrganisations(acceleratorCap(8), manifest.Organisation{}))
 		time.Sleep(4 * time.Second) // the former version is out of force
 		second := newJob(2, work.Step{Tasks: 8, Demand: oneAccelerator, EstimateMS: 1000})
-		c.submit("urgent", second, standin.Behaviour{Work: time.Second})
+		c.submit("normal", second, standin.Behaviour{Work: time.Second}) // an urgent job may preempt
 		time.Sleep(5 * time.Second)
 		if n := len(c.activeRuns(first)); n != 24 {
 			t.Errorf("%d of 24 tasks run after the cap was lowered to 8", n)
