Test many processes killed, and all connections reset, at the same moment

Cause: the soak kills all hosts only after the traffic, and resets only the connections to the store.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -56,7 +56,7 @@
 		conn = nil
 	}
 	if conn == nil {
-		dialed, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, frontPort), time.Second)
+		dialed, err := net.DialTimeout("tcp", p.frontAddress(), time.Second)
 		if err != nil {
 			a.err, a.done = err, time.Now()
 			return a
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -63,19 +64,23 @@
 	limits     *platformtest.RateLimits
 	fleet      *standin.Fleet
 	workers    []*standin.Worker
-	hosts      []*process
-	subnet     int
+	// workerConnections are those that the workers have accepted, by worker.
+	workerConnections []*resettableListener
+	hosts             []*process
+	subnet            int
 }
 
 // process is the daemon of one host. It reaches the store through a fault proxy.
 type process struct {
 	name, zone, ip, settingsPath string
-	proxy                        *faultproxy.Proxy
-	logBlocked                   bool // nobody reads the daemon's output
-	mu                           sync.Mutex
-	command                      *exec.Cmd
-	done                         chan struct{}
-	faults                       []hostFault
+	// front is the address that callers use; empty means the daemon's own.
+	front      string
+	proxy      *faultproxy.Proxy
+	logBlocked bool // nobody reads the daemon's output
+	mu         sync.Mutex
+	command    *exec.Cmd
+	done       chan struct{}
+	faults     []hostFault
 }
 
 // testManifest returns a manifest with one queue for each priority.
@@ -137,9 +142,42 @@
 	return l
 }
 
+// resettableListener can reset the connections that it has accepted.
+type resettableListener struct {
+	net.Listener
+	mu       sync.Mutex
+	accepted []net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *resettableListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepted = append(l.accepted, conn)
+	return conn, nil
+}
+
+// reset resets all connections. New ones work.
+func (l *resettableListener) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.accepted {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // an error means that the connection is closed
+		}
+		_ = conn.Close()
+	}
+	l.accepted = nil
+}
+
 func (c *cluster) addWorker() {
 	i := len(c.workers)
-	l := listen(c.t)
+	l := &resettableListener{Listener: listen(c.t)}
+	c.workerConnections = append(c.workerConnections, l)
 	server := platformtest.ServeWorker(c.fleet, l)
 	c.t.Cleanup(func() { _ = server.Close() })
 	rack := fmt.Sprintf("rack-%d", i/workersPerRack)
@@ -240,6 +278,11 @@
 	return writer, err
 }
 
+// frontAddress returns the address that callers use.
+func (p *process) frontAddress() string {
+	return cmp.Or(p.front, fmt.Sprintf("%s:%d", p.ip, frontPort))
+}
+
 // signal sends a signal to the process, if it is running, and returns a channel that is
 // closed when the process has ended.
 func (p *process) signal(s syscall.Signal) chan struct{} {
@@ -296,7 +339,7 @@
 func (p *process) call(method, path string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", p.ip, frontPort, path), bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s", p.frontAddress(), path), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -129,6 +129,7 @@
 		run  func()
 	}{
 		{"kill", func() { s.stopAll(s.someHosts(rng), syscall.SIGKILL, d/2) }},
+		{"kill all", func() { s.stopAll(s.hosts, syscall.SIGKILL, d/2) }},
 		{"term", func() { s.stopAll(s.someHosts(rng), syscall.SIGTERM, d/4) }},
 		{"freeze", func() { s.freezeAll(s.someHosts(rng), d, 0) }},
 		{"slow", func() { s.freezeAll(s.someHosts(rng), d, 0.2) }},
--- a/internal/soak/odd_records_test.go
+++ b/internal/soak/odd_records_test.go
@@ -60,7 +60,7 @@
 		}
 	}
 	s.checkAlive()
-	s.awaitCompletion()
+	s.awaitCompletion(s.jobPaths)
 	if n := s.fleet.Ledger().Count("done"); n != 2**workerCount {
 		t.Errorf("%d runs done, want %d", n, 2**workerCount)
 	}
@@ -131,44 +131,3 @@
 	put(replica.TopicStatuses, replica.StateKey("stray"), "stray", "")
 	put(replica.TopicRuns, replica.StateKey("stray"), "stray", "")
 }
-
-// checkAlive fails the test if a process has ended.
-func (s *oddRun) checkAlive() {
-	s.t.Helper()
-	for _, p := range s.hosts {
-		p.mu.Lock()
-		select {
-		case <-p.done:
-			s.t.Errorf("%s has ended", p.name)
-		default:
-		}
-		p.mu.Unlock()
-	}
-}
-
-// oddCompletionTimeout bounds the time until all accepted jobs are completed.
-const oddCompletionTimeout = 40 * time.Second
-
-// awaitCompletion waits until each accepted job is reported as completed.
-func (s *oddRun) awaitCompletion() {
-	deadline := time.Now().Add(oddCompletionTimeout)
-	pending := s.jobPaths
-	for len(pending) > 0 && time.Now().Before(deadline) {
-		var unfinished []string
-		for i, path := range pending {
-			host := s.hosts[i%len(s.hosts)]
-			status, body := host.call(http.MethodGet, path, nil)
-			if status == http.StatusGone {
-				s.t.Errorf("%s returns status 410 for the accepted job %s", host.name, path)
-			}
-			if string(body) != `{"state":"completed"}` {
-				unfinished = append(unfinished, path)
-			}
-		}
-		pending = unfinished
-		time.Sleep(200 * time.Millisecond)
-	}
-	for _, path := range pending {
-		s.t.Errorf("job %s has not been completed within %s", path, oddCompletionTimeout)
-	}
-}
