--- a/internal/engine/caps_test.go
+++ b/internal/engine/organisations_test.go
@@ -10,8 +10,8 @@
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
 
-// oneAccelerator is the demand of a task of which eight fit on a worker.
-var oneAccelerator = work.Resources{CPU: 10_000, MemoryMB: 10_000, Accelerators: 1}
+// eighthOfWorker is the demand of a task of which eight fit on a worker.
+var eighthOfWorker = work.Resources{CPU: 10_000, MemoryMB: 10_000, Accelerators: 1}
 
 // withOrganisations returns the default manifest with the given caps and weights of the
 // organisations choir and guest, which have no guarantees.
@@ -35,12 +35,12 @@
 		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
 		defer c.close()
 		c.publishManifest(withOrganisations(acceleratorCap(40), manifest.Organisation{}))
-		first := newJob(1, work.Step{Tasks: 24, Demand: oneAccelerator, EstimateMS: 20_000})
+		first := newJob(1, work.Step{Tasks: 24, Demand: eighthOfWorker, EstimateMS: 20_000})
 		c.submit("normal", first, standin.Behaviour{Work: 20 * time.Second})
 		c.awaitRunning(first, 24, maxStartDelay)
 		c.publishManifest(withOrganisations(acceleratorCap(8), manifest.Organisation{}))
 		time.Sleep(4 * time.Second) // the former version is out of force
-		second := newJob(2, work.Step{Tasks: 8, Demand: oneAccelerator, EstimateMS: 1000})
+		second := newJob(2, work.Step{Tasks: 8, Demand: eighthOfWorker, EstimateMS: 1000})
 		c.submit("normal", second, standin.Behaviour{Work: time.Second}) // an urgent job may preempt
 		time.Sleep(5 * time.Second)
 		if n := len(c.activeRuns(first)); n != 24 {
@@ -56,46 +56,6 @@
 	})
 }
 
-// TestRaisedCapIsUsed guards against work that waits although a manifest has raised the cap.
-func TestRaisedCapIsUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
-		defer c.close()
-		c.publishManifest(withOrganisations(acceleratorCap(8), manifest.Organisation{}))
-		time.Sleep(time.Second)
-		j := newJob(1, work.Step{Tasks: 24, Demand: oneAccelerator, EstimateMS: 20_000})
-		c.submit("normal", j, standin.Behaviour{Work: 20 * time.Second})
-		time.Sleep(5 * time.Second)
-		if n := len(c.activeRuns(j)); n < 8 || n > 9 {
-			t.Errorf("%d tasks run with a cap of 8", n)
-		}
-		c.publishManifest(withOrganisations(acceleratorCap(40), manifest.Organisation{}))
-		c.awaitRunning(j, 24, maxStartDelay)
-	})
-}
-
-// TestQueueHeldByCapDelaysNobody guards against jobs that wait for the cap of their own
-// organisation and keep others from resources that are free.
-func TestQueueHeldByCapDelaysNobody(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, clusterOptions{hosts: 2, workers: 6})
-		defer c.close()
-		c.publishManifest(withOrganisations(acceleratorCap(16), manifest.Organisation{}))
-		time.Sleep(time.Second)
-		for n := range 10 {
-			gang := newJob(1+n, work.Step{Tasks: 2, Demand: largeTask, EstimateMS: 30_000, Gang: true})
-			c.submit("urgent", gang, standin.Behaviour{Work: 30 * time.Second})
-		}
-		time.Sleep(2 * time.Second)
-		others := newJob(100, work.Step{Tasks: 4, Demand: largeTask, EstimateMS: 5000, Gang: true})
-		c.submitWithKey("guest-key", "batch", others, standin.Behaviour{Work: 5 * time.Second})
-		c.awaitRunning(others, 4, maxStartDelay)
-		if n := c.fleet.Ledger().Use("choir").Accelerators; n != 16 {
-			t.Errorf("the organisation uses %d accelerators of a cap of 16", n)
-		}
-	})
-}
-
 // TestSharesFollowWeights guards against an organisation that gets more or less than its share
 // of full workers, with weights of 1 and 3. Both send the same work, 1.6 times of what fits, and
 // no more jobs per second than their weights.
@@ -113,7 +73,7 @@
 		c.publishManifest(withOrganisations(manifest.Organisation{Weight: 1}, manifest.Organisation{Weight: 3}))
 		time.Sleep(time.Second)
 		send := func(key string, n, tasks int) {
-			j := newJob(n, work.Step{Tasks: tasks, Demand: oneAccelerator, EstimateMS: int(taskTime.Milliseconds())})
+			j := newJob(n, work.Step{Tasks: tasks, Demand: eighthOfWorker, EstimateMS: int(taskTime.Milliseconds())})
 			c.submitWithKey(key, "normal", j, standin.Behaviour{Work: taskTime})
 		}
 		var choir, guest int
