Start nothing of an organisation that is above any of its caps

Change: none of its tasks starts while any resource is above its cap, as on a worker whose capacity was reduced.

--- a/internal/engine/quota/ledger.go
+++ b/internal/engine/quota/ledger.go
@@ -163,26 +163,23 @@
 	}
 	a := l.account(organisation)
 	wanted := a.used.Minus(a.stopping).Plus(a.unseen).Plus(a.promised).Plus(demand.Times(tasks))
-	over := positive(wanted.Minus(a.organisation.Cap))
-	return only(over, a.organisation.Cap, demand)
+	return over(wanted, a.organisation.Cap)
 }
 
 // UsesUnderHalf reports whether the organisation uses less than half of its cap of each resource.
 func (l *Ledger) UsesUnderHalf(organisation string) bool {
 	a := l.account(organisation)
-	over := positive(a.used.Times(2).Minus(a.organisation.Cap).Plus(work.Resources{CPU: 1, MemoryMB: 1, Accelerators: 1}))
-	return only(over, a.organisation.Cap, a.used) == (work.Resources{})
+	atLeastHalf := a.used.Times(2).Plus(work.Resources{CPU: 1, MemoryMB: 1, Accelerators: 1})
+	return over(atLeastHalf, a.organisation.Cap) == (work.Resources{})
 }
 
-// Exceeded reports whether the organisation uses more than its cap of a resource that a task
-// needs.
-func (l *Ledger) Exceeded(organisation string, demand work.Resources) bool {
+// Exceeded reports whether the organisation uses more than its cap.
+func (l *Ledger) Exceeded(organisation string) bool {
 	if !l.IsCapped(organisation) {
 		return false
 	}
 	a := l.account(organisation)
-	over := positive(a.used.Plus(a.unseen).Minus(a.organisation.Cap))
-	return only(over, a.organisation.Cap, demand) != (work.Resources{})
+	return over(a.used.Plus(a.unseen), a.organisation.Cap) != (work.Resources{})
 }
 
 // CanEverHold reports whether the cap has room for the tasks while nothing else of the
@@ -199,33 +196,37 @@
 	return roomFor(limit, limit, demand, tasks) >= tasks
 }
 
-// roomFor returns how many of the tasks fit into what is left of a cap. Resources without a limit
-// and those that the tasks do not need do not matter.
+// roomFor returns how many of the tasks fit into what is left of a cap. None does while more than the
+// cap of a resource is used, not even a task that needs none of it.
 func roomFor(left, limit, demand work.Resources, tasks int) int {
 	room := tasks
 	for _, r := range [...]struct{ left, limit, demand int }{
 		{left.CPU, limit.CPU, demand.CPU}, {left.MemoryMB, limit.MemoryMB, demand.MemoryMB},
 		{left.Accelerators, limit.Accelerators, demand.Accelerators},
 	} {
-		if r.limit > 0 && r.demand > 0 {
-			room = min(room, max(r.left, 0)/r.demand)
+		switch {
+		case r.limit == 0:
+		case r.left < 0:
+			return 0
+		case r.demand > 0:
+			room = min(room, r.left/r.demand)
 		}
 	}
 	return room
 }
 
-// only returns the amounts of the resources that have a limit and that the tasks need.
-func only(r, limit, demand work.Resources) work.Resources {
-	if limit.CPU == 0 || demand.CPU == 0 {
-		r.CPU = 0
-	}
-	if limit.MemoryMB == 0 || demand.MemoryMB == 0 {
-		r.MemoryMB = 0
+// over returns how much of each resource is used beyond a limit.
+func over(used, limit work.Resources) work.Resources {
+	beyond := func(used, limit int) int {
+		if limit == 0 {
+			return 0
+		}
+		return max(used-limit, 0)
 	}
-	if limit.Accelerators == 0 || demand.Accelerators == 0 {
-		r.Accelerators = 0
+	return work.Resources{
+		CPU: beyond(used.CPU, limit.CPU), MemoryMB: beyond(used.MemoryMB, limit.MemoryMB),
+		Accelerators: beyond(used.Accelerators, limit.Accelerators),
 	}
-	return r
 }
 
 // positive returns the amounts above 0.
--- a/internal/engine/scheduler/caps.go
+++ b/internal/engine/scheduler/caps.go
@@ -69,7 +69,7 @@
 // exceedsCap reports whether a planned run must not be started because its organisation's cap was
 // lowered since, or is not known to be in force.
 func (t *term) exceedsCap(r *run) bool {
-	return t.quota.Exceeded(r.organisation, r.demand) || !t.capIsConfirmed(r.organisation)
+	return t.quota.Exceeded(r.organisation) || !t.capIsConfirmed(r.organisation)
 }
 
 // organisationOf returns the organisation of a task's job, or an empty string if the job is not
