--- a/internal/engine/quota/ledger.go
+++ b/internal/engine/quota/ledger.go
@@ -13,10 +13,10 @@
 // Ledger is the use of all workers by organisation. Each operation takes constant time.
 type Ledger struct {
 	accounts map[string]*account
-	// weighted reports whether the manifest sets a weight for any organisation.
-	weighted bool
-	total    work.Resources // capacity of all workers, which shares refer to
-	beyond   map[string]bool
+	// weighted and capped report whether the manifest sets a weight or a cap for any organisation.
+	weighted, capped bool
+	total            work.Resources // capacity of all workers, which shares refer to
+	beyond           map[string]bool
 }
 
 // account is the use of one organisation.
@@ -51,8 +51,9 @@
 // SetManifest replaces the limits. An organisation that the manifest no longer names keeps its
 // last ones: its accepted jobs go on, and a missing entry does not lift a cap.
 func (l *Ledger) SetManifest(m *manifest.Manifest) {
-	l.weighted = m.Weighted()
+	l.weighted, l.capped = m.Weighted(), false
 	for _, o := range m.Organisations {
+		l.capped = l.capped || o.Cap != (work.Resources{})
 		l.account(o.Name).organisation = o
 	}
 }
@@ -121,6 +122,9 @@
 	return true
 }
 
+// HasCaps reports whether the manifest sets a cap for any organisation.
+func (l *Ledger) HasCaps() bool { return l.capped }
+
 // IsCapped reports whether the organisation has a cap.
 func (l *Ledger) IsCapped(organisation string) bool {
 	a := l.accounts[organisation]
--- a/internal/engine/scheduler/caps.go
+++ b/internal/engine/scheduler/caps.go
@@ -52,14 +52,15 @@
 }
 
 // capIsConfirmed reports whether the organisation's cap is known to be in force. While it is not,
-// its operators may have lowered it, and none of its tasks is started.
+// the operators may have lowered it or set one, and none of its tasks is started. A manifest without
+// any cap is relied on: there a stale one costs nothing as long as caps are not introduced.
 func (t *term) capIsConfirmed(organisation string) bool {
 	switch {
 	case organisation == "":
 		return true
 	case t.caps.manifest == nil:
 		return false
-	case !t.quota.IsCapped(organisation):
+	case !t.quota.HasCaps():
 		return true
 	}
 	view := t.Operator.View()
