Name the demand of a start above a cap

Cause: the text of a QUOTA does not show which resource the task needs. Change: the demand is in it. Measured: go test ./internal/standin: ok. Conclusion: findings can be told apart without logs.

--- a/internal/standin/caps.go
+++ b/internal/standin/caps.go
@@ -89,8 +89,8 @@
 	organisation := r.job.Organisation
 	used, limit := l.organisationUse[organisation], l.highestCap(organisation)
 	if isAbove(used, limit, 100+capOveragePercent) {
-		l.addViolationLocked("QUOTA: %s starts on %s at %s while %s has %+v running, with a cap of %+v",
-			r.name, w.entry.ID, time.Since(w.fleet.startedAt), organisation, used, limit)
+		l.addViolationLocked("QUOTA: %s of %+v starts on %s at %s while %s has %+v running, with a cap of %+v",
+			r.name, r.step().Demand, w.entry.ID, time.Since(w.fleet.startedAt), organisation, used, limit)
 	}
 }
 
