--- a/internal/engine/organisations_test.go
+++ b/internal/engine/organisations_test.go
@@ -56,6 +56,41 @@
 	})
 }
 
+// TestGangIsNotStarvedInsideCap guards against a gang that never fits into its organisation's cap,
+// because smaller tasks of the same organisation and priority take all that becomes free.
+func TestGangIsNotStarvedInsideCap(t *testing.T) {
+	const (
+		interval = 150 * time.Millisecond // the small tasks need 13 accelerators
+		patience = 10 * time.Second       // some times the longest run
+	)
+	for _, queue := range []string{"urgent", "normal", "batch"} {
+		t.Run(queue, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, clusterOptions{hosts: 2, workers: 8})
+				defer c.close()
+				c.publishManifest(withOrganisations(acceleratorCap(10), manifest.Organisation{}))
+				time.Sleep(time.Second)
+				small := func(n int) {
+					j := newJob(n, work.Step{Tasks: 1, Demand: eighthOfWorker, EstimateMS: 2000})
+					c.submit(queue, j, standin.Behaviour{Work: 2 * time.Second})
+					time.Sleep(interval)
+				}
+				for n := range 20 {
+					small(1 + n)
+				}
+				gang := newJob(1000, work.Step{Tasks: 9, Demand: eighthOfWorker, EstimateMS: 1000, Gang: true})
+				c.submit(queue, gang, standin.Behaviour{Work: time.Second})
+				began := time.Now()
+				for n := 100; len(c.activeRuns(gang)) < 9; n++ {
+					if small(n); time.Since(began) > patience {
+						t.Fatalf("the gang has not started within %s", patience)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestSharesFollowWeights guards against an organisation that gets more or less than its share
 // of full workers, with weights of 1 and 3. Both send the same work, 1.6 times of what fits, and
 // no more jobs per second than their weights.
