Bound what callers can make a host hold

Cause: the bodies of all callers were received whole, without a bound on their number, before route and key were looked at; connections had no bound, unfinished bodies and unread responses no deadline. A crowd of bodies that stop before their end took 244 MB with a limit of 96, idle connections all descriptors. Change: package guard gives bodies a budget that follows from limits.memoryMb: half for one organisation, the last quarter for small requests only, stalled bodies given up first. Key, route and id are checked on the header, and a refusal does not read the body. Calls in progress are bounded, and submissions are refused while the process holds three quarters of its memory. drain bounds connections by limits.memoryMb and limits.maxFds (read now) less what the host needs itself, closes idle ones first and then requests without progress, and ends connections whose client reads no response. The readiness and metrics ports are bounded too. Sizes of real hosts are still to be measured.

--- a/internal/engine/drain/conn.go
+++ b/internal/engine/drain/conn.go
@@ -20,6 +20,9 @@
 	// the connection. Requests that arrive until then are served: the client may have sent
 	// them before it read that response.
 	closeDelay = 500 * time.Millisecond
+	// responseTimeout bounds how long a response waits for a client that does not read: more
+	// than callers wait for a response.
+	responseTimeout = 5 * time.Second
 	// readAheadBytes is the size of the buffer for the check for further requests.
 	readAheadBytes = 512
 )
@@ -44,6 +47,9 @@
 	closeBy      time.Time // an earlier deadline until data arrives; zero if there is none
 	peerClosed   bool      // the client has closed its side
 	closed       bool
+	stage        stage
+	since        time.Time // of the stage
+	evicted      bool      // its place is needed
 }
 
 // Read implements net.Conn. A read whose deadline has passed returns data that has arrived
@@ -116,12 +122,16 @@
 }
 
 func (c *conn) setBusyLocked() {
+	if !c.busy {
+		c.enterLocked(receiving)
+		c.evicted = false // the request may have been on its way
+	}
 	c.busy = true
 	if !c.noWait && c.closeBy.IsZero() {
 		return
 	}
 	c.closeBy = time.Time{}
-	c.noWait = c.noWait && c.server.phase.Load() >= phaseClosing
+	c.noWait = c.noWait && (c.evicted || c.server.phase.Load() >= phaseClosing)
 	c.applyReadDeadlineLocked()
 }
 
@@ -141,20 +151,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	c.enterLocked(idle)
 	c.closeBy = time.Now().Add(closeDelay)
 	c.applyReadDeadlineLocked()
 }
 
-func (c *conn) markBusy() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setBusyLocked()
-}
-
 func (c *conn) markIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	c.enterLocked(idle)
 }
 
 func (c *conn) isBusy() bool {
@@ -175,6 +181,12 @@
 	c.applyReadDeadlineLocked()
 }
 
+// Write implements net.Conn. A client that does not read ends the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(responseTimeout)) // an error means that the connection is closed
+	return c.TCPConn.Write(p)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -205,13 +217,14 @@
 // has closed its side or lingerTimeout has passed.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	alreadyClosed, peerClosed := c.closed, c.peerClosed
+	alreadyClosed, peerClosed := c.closed, c.peerClosed || c.evicted && c.stage < receivingBody
 	c.closed, c.busy = true, false
+	c.enterLocked(lingering)
 	c.mu.Unlock()
 	if alreadyClosed {
 		return net.ErrClosed
 	}
-	if peerClosed || c.CloseWrite() != nil {
+	if peerClosed || c.CloseWrite() != nil { // or nothing was answered that could be lost
 		return c.finish()
 	}
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/internal/engine/drain/drain_test.go
+++ b/internal/engine/drain/drain_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &testServer{NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}, zap.NewNop()), t, l.(*net.TCPListener)}
+	s := &testServer{NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}, Limits{}, zap.NewNop()), t, l.(*net.TCPListener)}
 	t.Cleanup(s.Close)
 	return s
 }
--- a/internal/engine/drain/handler.go
+++ b/internal/engine/drain/handler.go
@@ -22,8 +22,8 @@
 		s.handler.ServeHTTP(rw, r)
 		return
 	}
-	c.markBusy()
-	body := &trackedBody{ReadCloser: r.Body, ended: r.ContentLength == 0}
+	body := &trackedBody{ReadCloser: r.Body, conn: c, ended: r.ContentLength == 0}
+	c.beginRequest(!body.ended)
 	if !body.ended {
 		withBody := *r
 		withBody.Body = body
@@ -129,13 +129,17 @@
 // trackedBody is a request body that knows whether it was read up to its end.
 type trackedBody struct {
 	io.ReadCloser
+	conn  *conn
 	ended bool
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.ended = b.ended || errors.Is(err, io.EOF)
+	if !b.ended && errors.Is(err, io.EOF) {
+		b.ended = true
+		b.conn.endBody()
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/internal/engine/drain/limits_test.go
@@ -0,0 +1,128 @@
+package drain
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// newLimitedServer returns a running server with the given bounds.
+func newLimitedServer(t *testing.T, limits Limits, handler http.HandlerFunc) *testServer {
+	s := newTestServer(t, handler)
+	s.Server = NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}, limits, zap.NewNop())
+	t.Cleanup(s.Close)
+	s.start()
+	return s
+}
+
+// waitUntil waits until the condition holds.
+func waitUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+func fixed(n int) func() int { return func() int { return n } }
+
+// TestIdleConnectionsGiveWay guards against idle connections that keep callers out, and against
+// closing one whose request is in progress.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	s := newLimitedServer(t, Limits{Conns: fixed(4)}, func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			started <- struct{}{}
+			<-finish
+		}
+		respond(rw, r)
+	})
+	working := s.dial()
+	working.send(strings.Replace(get, "GET /", "GET /slow", 1))
+	<-started
+	used := s.dial()
+	used.send(get)
+	used.expect(http.StatusOK, false)
+	unused, half := s.dial(), s.dial()
+	half.send(get[:16])
+	for range 8 {
+		c := s.dial()
+		c.send(get)
+		c.expect(http.StatusOK, false)
+	}
+	unused.expectEOF()
+	used.expectEOF()
+	close(finish)
+	working.expect(http.StatusOK, false)
+	if n := s.countConns(); n > 4 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestStalledRequestsGiveWay guards against unfinished headers and bodies that keep callers out.
+func TestStalledRequestsGiveWay(t *testing.T) {
+	s := newLimitedServer(t, Limits{Conns: fixed(2)}, respond)
+	half, body := s.dial(), s.dial()
+	half.send(get[:16])
+	body.send(post("a body")[:50])
+	for range 3 {
+		c := s.dial()
+		c.send(get)
+		c.expect(http.StatusOK, false)
+	}
+	half.expectEOF()
+	body.expect(http.StatusServiceUnavailable, true)
+}
+
+// TestReceivingHeadersAreBounded guards against large headers in progress on all connections.
+func TestReceivingHeadersAreBounded(t *testing.T) {
+	s := newLimitedServer(t, Limits{Receiving: 2}, respond)
+	var clients []*client
+	for range 6 {
+		c := s.dial()
+		c.send(get[:16])
+		clients = append(clients, c)
+	}
+	waitUntil(t, "headers in progress", func() bool { return s.receiving.Load() == 6 })
+	waitUntil(t, "headers given up", func() bool {
+		c := s.dial()
+		c.send(get)
+		c.expect(http.StatusOK, false)
+		return s.receiving.Load() <= 2
+	})
+	clients[0].expectEOF()
+}
+
+// TestBodyNobodyReadsEnds guards against a connection that is held by a body that the handler
+// does not read.
+func TestBodyNobodyReadsEnds(t *testing.T) {
+	s := newLimitedServer(t, Limits{}, func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusNotFound) })
+	c := s.dial()
+	c.send(post("a body")[:50])
+	c.expect(http.StatusNotFound, true)
+	c.expectEOF()
+}
+
+// TestUnreadResponsesEnd guards against connections that are held by clients that do not read.
+func TestUnreadResponsesEnd(t *testing.T) {
+	failed := make(chan error, 1)
+	s := newLimitedServer(t, Limits{}, func(rw http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := rw.Write(make([]byte, 1<<20)); err != nil {
+				failed <- err
+				return
+			}
+		}
+	})
+	c := s.dial()
+	c.send(get)
+	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/engine/drain/listener.go
+++ b/internal/engine/drain/listener.go
@@ -27,6 +27,7 @@
 // in the queue, closes the listener and returns http.ErrServerClosed.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		l.waitForPlace()
 		tcp, err := l.AcceptTCP()
 		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 			tcp, err = l.acceptQueued()
@@ -34,7 +35,9 @@
 		switch {
 		case err == nil:
 			l.failing = false
-			return l.server.add(tcp), nil
+			c := l.server.add(tcp)
+			l.server.makePlace()
+			return c, nil
 		case errors.Is(err, syscall.EAGAIN):
 			_ = l.Close()
 			return nil, http.ErrServerClosed
@@ -75,6 +78,18 @@
 	return c.(*net.TCPConn), nil
 }
 
+// waitForPlace waits until the server has fewer connections than it may have, or is stopping.
+// New connections wait in the kernel's queue meanwhile.
+func (l *listener) waitForPlace() {
+	for !l.stopping.Load() && l.server.isFull() {
+		l.server.makePlace()
+		select {
+		case <-l.server.freed:
+		case <-time.After(acceptRetryDelay):
+		}
+	}
+}
+
 func (l *listener) logFailure(err error) {
 	if !l.failing {
 		l.server.log.Warn("connections cannot be accepted", zap.Error(err))
--- a/internal/engine/drain/server.go
+++ b/internal/engine/drain/server.go
@@ -70,15 +70,23 @@
 	phase          atomic.Int32
 	listener       atomic.Pointer[listener]
 	stopped        chan struct{} // closed when Serve has returned
+	limits         Limits
+	freed          chan struct{} // receives a value after a connection was closed
+
+	receiving atomic.Int64 // connections that receive the header of a request
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
 // NewServer returns a server with the handler and limits of s, which must not be used
-// otherwise. It replaces s.BaseContext, s.ConnContext and s.ConnState.
-func NewServer(s *http.Server, log *zap.Logger) *Server {
-	d := &Server{http: s, handler: s.Handler, log: log, stopped: make(chan struct{}), conns: map[*conn]struct{}{}}
+// otherwise, and bounds its connections. It replaces s.BaseContext, s.ConnContext and
+// s.ConnState.
+func NewServer(s *http.Server, limits Limits, log *zap.Logger) *Server {
+	d := &Server{
+		http: s, handler: s.Handler, log: log, stopped: make(chan struct{}), limits: limits,
+		freed: make(chan struct{}, 1), conns: map[*conn]struct{}{},
+	}
 	d.requestContext, d.cancelRequests = context.WithCancel(context.Background())
 	s.Handler = http.HandlerFunc(d.serveHTTP)
 	s.BaseContext = func(net.Listener) context.Context { return d.requestContext }
@@ -196,6 +204,9 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
+// OpenConns returns the number of open connections.
+func (s *Server) OpenConns() int { return s.countConns() }
+
 func (s *Server) countConns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -214,7 +225,7 @@
 }
 
 func (s *Server) add(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, server: s}
+	c := &conn{TCPConn: tcp, server: s, since: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -225,4 +236,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
 }
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,6 +21,7 @@
 	"github.com/daisyfold/daisyfold/internal/engine"
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/drain"
+	"github.com/daisyfold/daisyfold/internal/engine/guard"
 	"github.com/daisyfold/daisyfold/internal/engine/scheduler"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
@@ -54,6 +54,7 @@
 	registry  gometrics.Registry
 	log       *zap.Logger
 	engine    *engine.Engine
+	guard     *guard.Guard
 	stopping  atomic.Bool
 	lastReady atomic.Bool // result of the last readiness probe
 	// gracePeriod is the time from SIGTERM to SIGKILL, in nanoseconds.
@@ -67,6 +68,10 @@
 	h.gracePeriod.Store(int64(s.ShutdownGracePeriod))
 	metrics.RegisterCounter(h.registry, "log.dropped", droppedLines)
 	h.registerMetrics()
+	h.guard = guard.New(guard.Options{
+		MemoryMB: s.MemoryLimitMB, MaxDescriptors: s.MaxDescriptors, OutgoingConns: platform.OpenConns,
+		Metrics: h.registry, Logger: logging.WithPart(log, "guard"),
+	})
 	h.engine = engine.New(engine.Options{
 		Host: s.Host, CPUShare: s.CPUShare, Store: platform.NewStoreClient(s.StoreAddress), Workers: platform.NewWorkerClient(), Advisor: advisor(s), Machines: machines(s),
 		StatusTopic: platform.TopicStatus, EncodeWaveStatus: platform.EncodeWaveStatus,
@@ -146,12 +151,16 @@
 	group, ctx := errgroup.WithContext(ctx)
 	followerCtx, stopFollowers := context.WithCancel(ctx)
 	defer stopFollowers()
-	frontServer := drain.NewServer(h.newServer(platform.NewFrontHandler(h.engine.Intake, h.log)), h.log)
-	readyServer := h.newServer(http.HandlerFunc(h.serveReady))
-	metricsServer := h.newServer(metrics.Handler(h.registry))
+	evicted := func() { h.guard.Refuse(guard.Connections) }
+	frontServer := drain.NewServer(h.newServer(platform.NewFrontHandler(h.engine.Intake, h.guard, h.log)),
+		drain.Limits{Conns: h.guard.MaxConns, Receiving: h.guard.MaxReceiving(), Evicted: evicted}, h.log)
+	operationLimits := drain.Limits{Conns: func() int { return guard.MaxOperationConns }, Evicted: evicted}
+	readyServer := drain.NewServer(h.newServer(http.HandlerFunc(h.serveReady)), operationLimits, h.log)
+	metricsServer := drain.NewServer(h.newServer(metrics.Handler(h.registry)), operationLimits, h.log)
+	metrics.RegisterGauge(h.registry, "guard.connections", func() int64 { return int64(frontServer.OpenConns()) })
 	group.Go(func() error { return frontServer.Serve(frontListener) })
-	serve(group, readyServer, readyListener)
-	serve(group, metricsServer, metricsListener)
+	group.Go(func() error { return readyServer.Serve(readyListener) })
+	group.Go(func() error { return metricsServer.Serve(metricsListener) })
 	group.Go(func() error { return h.engine.RunFollowers(followerCtx) })
 	schedulerCtx, stopScheduler := context.WithCancel(followerCtx)
 	defer stopScheduler()
@@ -165,7 +174,8 @@
 	stopScheduler() // takes its time while callers are served
 	h.drain(frontServer, deadlines)
 	waitUntil(schedulerStopped, deadlines.End)
-	_, _ = readyServer.Close(), metricsServer.Close() // open probes and scrapes may be aborted
+	readyServer.Close() // open probes and scrapes may be aborted
+	metricsServer.Close()
 	stopFollowers()
 	err = h.waitForGroup(group, deadlines.End)
 	h.log.Info("stop", zap.Error(err))
@@ -204,15 +214,6 @@
 	}
 }
 
-func serve(group *errgroup.Group, s *http.Server, l net.Listener) {
-	group.Go(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-}
-
 // serveReady responds to a readiness probe of the load balancer.
 func (h *Host) serveReady(rw http.ResponseWriter, _ *http.Request) {
 	ok, reason := h.engine.Ready()
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -164,6 +164,19 @@
 	return queue, organisation.Name, nil
 }
 
+// Admit checks a submission by its header, before its body is received. It returns the
+// organisation that holds the key, which is empty for a public queue, or the answer to a
+// submission that is refused.
+func (s *Service) Admit(c Call) (organisation string, refused *Answer) {
+	start := time.Now()
+	_, organisation, refused = s.admit(c)
+	if refused != nil {
+		s.updateMetrics("submission", *refused, start)
+		s.log("submission", c, "", *refused)
+	}
+	return organisation, refused
+}
+
 // Submit accepts a job. The caller sets the job's id, steps, spec and times; the other
 // fields are set from the queue. A job that was already accepted is not changed.
 func (s *Service) Submit(ctx context.Context, c Call, job work.Job) Answer {
