--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -38,6 +38,7 @@
 				_ = conn.Close()
 			}
 		}
+		d.expectAnswer() // also after the crowd
 	})
 	return c
 }
