Admit by header with the organisation's model

Cause: the merge of two parts left a name where an organisation is returned. Change: Admit returns the organisation's name.

--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -170,10 +170,13 @@
 // submission that is refused.
 func (s *Service) Admit(c Call) (organisation string, refused *Answer) {
 	start := time.Now()
-	_, organisation, refused = s.admit(c)
-	if refused != nil {
+	_, owner, refused := s.admit(c)
+	switch {
+	case refused != nil:
 		s.updateMetrics("submission", *refused, start)
 		s.log("submission", c, "", *refused)
+	case owner != nil:
+		organisation = owner.Name
 	}
 	return organisation, refused
 }
