--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -47,7 +47,7 @@
 	store           *standin.Store
 	fleet           *standin.Fleet
 	workers         []*standin.Worker
-	mu              sync.Mutex // guards hosts
+	mu              sync.Mutex // guards hosts and organisations
 	hosts           map[string]*testHost
 	start           time.Time
 	log             *zap.Logger
@@ -172,12 +172,15 @@
 	if c.platformFormat {
 		data = platformtest.EncodeManifest(m)
 	}
-	c.organisations = map[string]string{}
+	organisations := map[string]string{}
 	for _, o := range m.Organisations {
 		for _, key := range o.Keys {
-			c.organisations[key] = o.Name
+			organisations[key] = o.Name
 		}
 	}
+	c.mu.Lock()
+	c.organisations = organisations
+	c.mu.Unlock()
 	c.fleet.Ledger().RecordManifest(m)
 	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
 }
@@ -349,7 +352,9 @@
 	c.t.Helper()
 	target := newCall("/" + queue + "/" + j.ID)
 	target.Key = key
+	c.mu.Lock()
 	j.MaxAttempts, j.Organisation = 3, c.organisations[key]
+	c.mu.Unlock()
 	c.fleet.RegisterJob(&j, behaviour)
 	for range 60 {
 		a := c.anyHost().Intake.Submit(c.t.Context(), target, j)
