--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -47,7 +47,7 @@
 	store           *standin.Store
 	fleet           *standin.Fleet
 	workers         []*standin.Worker
-	mu              sync.Mutex // guards hosts
+	mu              sync.Mutex // guards hosts and organisations
 	hosts           map[string]*testHost
 	start           time.Time
 	log             *zap.Logger
@@ -172,14 +172,29 @@
 	if c.platformFormat {
 		data = platformtest.EncodeManifest(m)
 	}
-	c.organisations = map[string]string{}
+	c.setOrganisations(m)
+	c.fleet.Ledger().RecordManifest(m)
+	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
+}
+
+// setOrganisations notes who holds the keys.
+func (c *cluster) setOrganisations(m *manifest.Manifest) {
+	organisations := map[string]string{}
 	for _, o := range m.Organisations {
 		for _, key := range o.Keys {
-			c.organisations[key] = o.Name
+			organisations[key] = o.Name
 		}
 	}
-	c.fleet.Ledger().RecordManifest(m)
-	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.organisations = organisations
+}
+
+// organisation returns the name of the organisation that holds a key, or an empty string.
+func (c *cluster) organisation(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.organisations[key]
 }
 
 func decodeOperator(r store.Record) (replica.OperatorChange, error) {
@@ -349,7 +364,7 @@
 	c.t.Helper()
 	target := newCall("/" + queue + "/" + j.ID)
 	target.Key = key
-	j.MaxAttempts, j.Organisation = 3, c.organisations[key]
+	j.MaxAttempts, j.Organisation = 3, c.organisation(key)
 	c.fleet.RegisterJob(&j, behaviour)
 	for range 60 {
 		a := c.anyHost().Intake.Submit(c.t.Context(), target, j)
