--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -172,13 +172,6 @@
 	if c.platformFormat {
 		data = platformtest.EncodeManifest(m)
 	}
-	c.setOrganisations(m)
-	c.fleet.Ledger().RecordManifest(m)
-	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
-}
-
-// setOrganisations notes who holds the keys.
-func (c *cluster) setOrganisations(m *manifest.Manifest) {
 	organisations := map[string]string{}
 	for _, o := range m.Organisations {
 		for _, key := range o.Keys {
@@ -186,15 +179,10 @@
 		}
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.organisations = organisations
-}
-
-// organisation returns the name of the organisation that holds a key, or an empty string.
-func (c *cluster) organisation(key string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.organisations[key]
+	c.mu.Unlock()
+	c.fleet.Ledger().RecordManifest(m)
+	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
 }
 
 func decodeOperator(r store.Record) (replica.OperatorChange, error) {
@@ -364,7 +352,9 @@
 	c.t.Helper()
 	target := newCall("/" + queue + "/" + j.ID)
 	target.Key = key
-	j.MaxAttempts, j.Organisation = 3, c.organisation(key)
+	c.mu.Lock()
+	j.MaxAttempts, j.Organisation = 3, c.organisations[key]
+	c.mu.Unlock()
 	c.fleet.RegisterJob(&j, behaviour)
 	for range 60 {
 		a := c.anyHost().Intake.Submit(c.t.Context(), target, j)
