--- a/internal/engine/random_caps_test.go
+++ b/internal/engine/random_caps_test.go
@@ -13,7 +13,7 @@
 
 // capRegressions are the seeds of random days with caps that once failed, each with its cause.
 var capRegressions = []uint64{
-	13, // tasks that need no CPU were started while their organisation was above its cap of CPU
+	13,   // tasks that need no CPU were started while their organisation was above its cap of CPU
 	1235, // a version that sets a cap where there was none was not read yet, and starts went on
 }
 
