Order steps and price stops by one function, and count room that is coming

Cause: The queue's order and the choice of runs to stop had rules of their own. Change: Package urgency gives the order, the cost of a stop and the gain of stopping from priority, objective, work needed and work lost. Nothing is stopped where the room is not used in time, unless a guarantee or a long-running task needs it. A search for victims first counts what is being stopped or ends within the time of a stop, and compares victims by cores with accelerators added. Work that was stopped before costs more. Late work is placed like other work after 30 s. The shares and rates of organisations are inputs of the same order.

--- a/internal/engine/plan/plan_test.go
+++ b/internal/engine/plan/plan_test.go
@@ -84,7 +84,7 @@
 		}
 		victims = append(victims, Victim{ID: i, Freed: []Freed{{n, workerCapacity}}, Cost: cost})
 	}
-	preemption := s.Preempt(newRequest(3, work.Step{Demand: halfWorker, Gang: true, SameRack: true}), NewVictims(victims))
+	preemption := s.Preempt(newRequest(3, work.Step{Demand: halfWorker, Gang: true, SameRack: true}), NewVictims(victims, nil))
 	if preemption == nil || len(preemption.Victims) != 2 {
 		t.Fatalf("got %+v, want two victims", preemption)
 	}
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	if got := s.Preempt(newRequest(99, work.Step{Demand: halfWorker, Gang: true}), NewVictims(victims)); got != nil {
+	if got := s.Preempt(newRequest(99, work.Step{Demand: halfWorker, Gang: true}), NewVictims(victims, nil)); got != nil {
 		t.Errorf("a preemption is found for a gang that never fits")
 	}
 }
--- a/internal/engine/plan/preempt.go
+++ b/internal/engine/plan/preempt.go
@@ -33,6 +33,8 @@
 	taken  []bool // by index in list
 	byRack map[string]*candidates
 	all    candidates
+	// coming are resources that will be free soon without a preemption, or because of one.
+	coming map[*Node]work.Resources
 	// byOwner holds the victims by owner, in ascending order of their cost.
 	byOwner map[string]*candidates
 }
@@ -64,9 +66,11 @@
 	perCore float64 // cost per core that is freed on these workers
 }
 
-// NewVictims indexes the victims. It sorts the entries in Freed of each victim.
-func NewVictims(list []Victim) *Victims {
-	v := &Victims{list: list, taken: make([]bool, len(list)), byRack: map[string]*candidates{}, byOwner: map[string]*candidates{}}
+// NewVictims indexes the victims. It sorts the entries in Freed of each victim. Requests may also
+// use the resources that are coming; they must not contain those of a victim.
+func NewVictims(list []Victim, coming []Freed) *Victims {
+	v := &Victims{list: list, taken: make([]bool, len(list)), byRack: map[string]*candidates{}, byOwner: map[string]*candidates{}, coming: map[*Node]work.Resources{}}
+	v.expect(coming)
 	v.all.list = make([]candidate, 0, len(list))
 	for i, victim := range list {
 		if len(victim.Freed) > 1 {
@@ -103,19 +107,32 @@
 	}
 }
 
+// smallestCores is added to freed cores, so that the costs of victims that free only memory can be
+// compared.
+const smallestCores = 0.001
+
 func (c candidate) withCost(cost float64) candidate {
-	milliCores := 1
+	cores := smallestCores
 	for _, f := range c.freed {
-		milliCores += f.Resources.CPU
+		cores += f.Resources.Cores()
 	}
-	c.perCore = cost / float64(milliCores)
+	c.perCore = cost / cores
 	return c
 }
 
-// Take removes the victims of a preemption, so that later searches do not count them again.
+// Take removes the victims of a preemption. Later searches may use what they free and the request
+// does not claim.
 func (v *Victims) Take(p *Preemption) {
 	for _, i := range p.indexes {
 		v.taken[i] = true
+		v.expect(v.list[i].Freed)
+	}
+}
+
+// expect adds resources that are coming.
+func (v *Victims) expect(coming []Freed) {
+	for _, f := range coming {
+		v.coming[f.Node] = v.coming[f.Node].Plus(f.Resources)
 	}
 }
 
@@ -123,14 +140,15 @@
 type Preemption struct {
 	Victims []Victim
 	// Claims is the number of tasks of the request that each worker gets once the victims
-	// have stopped, by worker key.
+	// have stopped and what is coming is free, by worker key.
 	Claims  map[string]int
-	cost    float64
-	indexes []int // of the victims, in Victims.list
+	Cost    float64 // the sum of the victims' costs
+	indexes []int   // of the victims, in Victims.list
 }
 
-// Preempt returns a low-cost set of victims whose resources, together with the free ones,
-// make room for the request, or nil if there is none. It does not change the snapshot.
+// Preempt returns a low-cost set of victims whose resources, together with those that are free or
+// coming, make room for the request, or nil if there is none. The set is empty if what is coming
+// suffices. It does not change the snapshot.
 func (s *Snapshot) Preempt(req *Request, victims *Victims) *Preemption {
 	if !req.Step.Gang || !req.Step.SameRack || req.AnyRack {
 		return newVictimSearch(req, s.Nodes, victims, &victims.all).run()
@@ -138,7 +156,7 @@
 	var best *Preemption
 	for _, rack := range s.racks() {
 		preemption := newVictimSearch(req, rack, victims, victims.byRack[rack[0].Rack]).run()
-		if preemption != nil && (best == nil || preemption.cost < best.cost) {
+		if preemption != nil && (best == nil || preemption.Cost < best.Cost) {
 			best = preemption
 		}
 	}
@@ -209,14 +227,17 @@
 	s.available = make(map[*Node]work.Resources, len(s.nodes))
 	for _, n := range s.nodes {
 		s.available[n] = n.Free
-		s.slots += s.req.slots(n, n.Free)
+		if !n.ProbeOnly {
+			s.available[n] = n.Free.Plus(s.victims.coming[n])
+		}
+		s.slots += s.req.slots(n, s.available[n])
 	}
 	chosen := append(s.chooseOwn(), s.choose()...)
 	if !s.fits() {
 		return nil
 	}
 	chosen, cost := s.dropUnneeded(chosen)
-	p := &Preemption{Claims: assignClaims(s.req, s.nodes, s.available), cost: cost}
+	p := &Preemption{Claims: assignClaims(s.req, s.nodes, s.available), Cost: cost}
 	for _, c := range chosen {
 		p.Victims = append(p.Victims, s.victims.list[c.victim])
 		p.indexes = append(p.indexes, c.victim)
--- a/internal/engine/plan/preempt_test.go
+++ b/internal/engine/plan/preempt_test.go
@@ -40,7 +40,7 @@
 // workers takes.
 func preemptionTime(t *testing.T, n int, req *Request) time.Duration {
 	s, victims := fullSnapshot(n)
-	pool := NewVictims(victims)
+	pool := NewVictims(victims, nil)
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	shortest := time.Hour
@@ -79,7 +79,7 @@
 // of the same victim.
 func TestTakenVictimsAreNotUsedTwice(t *testing.T) {
 	s, victims := fullSnapshot(12)
-	pool := NewVictims(victims)
+	pool := NewVictims(victims, nil)
 	req := urgentRequests()[0]
 	stopped := map[int]bool{}
 	for range 4 {
@@ -101,13 +101,37 @@
 	}
 }
 
+// TestComingRoomNeedsNoVictims guards against victims for a request that fits into what is coming,
+// and against two requests that count on the same room.
+func TestComingRoomNeedsNoVictims(t *testing.T) {
+	s, victims := fullSnapshot(12)
+	coming := []Freed{{s.Nodes[0], workerCapacity}, {s.Nodes[1], workerCapacity}}
+	pool := NewVictims(victims[16:], coming)
+	req := newRequest(2, work.Step{Demand: work.Resources{CPU: 50_000, MemoryMB: 100_000, Accelerators: 6}, Gang: true, SameRack: true})
+	first := s.Preempt(req, pool)
+	if first == nil || len(first.Victims) != 0 {
+		t.Fatalf("got %+v, want no victims", first)
+	}
+	s.Claim(req, first.Claims)
+	pool.Take(first)
+	second := s.Preempt(req, pool)
+	if second == nil || len(second.Victims) == 0 {
+		t.Fatalf("got %+v, want victims", second)
+	}
+	for key := range first.Claims {
+		if second.Claims[key] > 0 {
+			t.Errorf("both requests claim %s", key)
+		}
+	}
+}
+
 func BenchmarkPreempt(b *testing.B) {
 	for _, n := range []int{350, 1100, 3000} {
 		s, victims := fullSnapshot(n)
 		for i, req := range urgentRequests() {
 			b.Run(fmt.Sprintf("workers=%d/request=%d", n, i), func(b *testing.B) {
 				for b.Loop() {
-					s.Preempt(req, NewVictims(victims))
+					s.Preempt(req, NewVictims(victims, nil))
 				}
 			})
 		}
--- a/internal/engine/plan/shortfall_test.go
+++ b/internal/engine/plan/shortfall_test.go
@@ -43,7 +43,7 @@
 			}
 			req := newRequest(c.requestTasks, work.Step{Demand: demand})
 			req.Owner, req.Shortfall = "own", work.Resources{Accelerators: c.short}
-			p := s.Preempt(req, NewVictims(list))
+			p := s.Preempt(req, NewVictims(list, nil))
 			if p == nil {
 				if !c.wantNothing {
 					t.Fatal("nothing is stopped")
--- a/internal/engine/scheduler/caps.go
+++ b/internal/engine/scheduler/caps.go
@@ -156,25 +156,14 @@
 func (t *term) orderQueue(queue []readyStep) {
 	wallMS := t.WallClock().UnixMilli()
 	for i := range queue {
-		queue[i].withinRate = t.quota.WithinRate(queue[i].job.ID)
+		queue[i].urgency.WithinRate = t.quota.WithinRate(queue[i].job.ID)
 	}
-	slices.SortFunc(queue, func(a, b readyStep) int { return cmp.Or(compareClass(a, b), compareReady(a, b, wallMS)) })
+	slices.SortFunc(queue, func(a, b readyStep) int { return compareReady(a, b, wallMS) })
 	progression := t.quota.Progression()
 	for i, q := range queue {
-		queue[i].share = progression.Next(q.job.Organisation, q.job.StepAt(q.step).Demand.Times(len(q.tasks)))
+		queue[i].urgency.Share = progression.Next(q.job.Organisation, q.job.StepAt(q.step).Demand.Times(len(q.tasks)))
 	}
-	slices.SortStableFunc(queue, func(a, b readyStep) int { return cmp.Or(compareClass(a, b), cmp.Compare(a.share, b.share)) })
-}
-
-// compareClass orders steps by what comes before shares.
-func compareClass(a, b readyStep) int {
-	longRunning := func(q readyStep) bool { return q.job.StepAt(q.step).LongRunning }
-	return cmp.Or(
-		cmp.Compare(a.job.Priority, b.job.Priority),
-		cmp.Compare(boolRank(!a.guaranteed), boolRank(!b.guaranteed)),
-		cmp.Compare(boolRank(!longRunning(a)), boolRank(!longRunning(b))),
-		cmp.Compare(boolRank(!a.withinRate), boolRank(!b.withinRate)),
-	)
+	slices.SortStableFunc(queue, func(a, b readyStep) int { return compareReady(a, b, wallMS) })
 }
 
 // claimedResources returns what the step's active claims keep.
@@ -198,7 +187,7 @@
 // ones that are guaranteed or within the rate of their organisation. What it sends beyond that waits
 // for free room.
 func (q readyStep) mayPreempt() bool {
-	urgent := q.job.Priority == 0 && (q.guaranteed || q.withinRate)
+	urgent := q.job.Priority == 0 && (q.guaranteed || q.urgency.WithinRate)
 	return urgent || q.job.StepAt(q.step).LongRunning
 }
 
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/health"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
+	"github.com/daisyfold/daisyfold/internal/engine/urgency"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
@@ -49,9 +50,7 @@
 	// guaranteed reports whether the job is urgent and its organisation needs no more
 	// accelerators than it is guaranteed.
 	guaranteed bool
-	// withinRate and share order the step among those of its priority, see package quota.
-	withinRate bool
-	share      float64
+	urgency    urgency.Work
 }
 
 // planQueue places the waiting tasks on workers. It does nothing while an append is in
@@ -169,6 +168,9 @@
 			}
 		}
 	}
+	for i := range queue {
+		queue[i].urgency = queue[i].work(now)
+	}
 	return queue
 }
 
@@ -316,7 +318,7 @@
 		sharing.Tasks = inCap
 		t.stopBestEffortRuns(s, &sharing)
 	}
-	if q.mayPreempt() && t.preempt(s, q, &unplaced, inCap, p) {
+	if t.stopsFor(q, 0) && t.preempt(s, q, &unplaced, inCap, p) {
 		return
 	}
 	if step.Gang && inCap > 0 && p.reservations < maxReservations {
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -29,6 +29,8 @@
 	service    string
 	priority   int
 	guaranteed bool
+	// usesComing reports whether the requests may wait for room that is coming.
+	usesComing bool
 	// organisation is set if its own runs must give way first, those of other services included.
 	organisation string
 }
@@ -42,8 +44,8 @@
 
 // victimPool returns the runs that may be stopped for the step. The pool is computed once
 // per planning pass and class, because it contains most runs of the service.
-func (t *term) victimPool(s *plan.Snapshot, q readyStep, ownFirst bool, p *planningPass) *victimPool {
-	class := victimClass{service: q.job.Service, priority: q.job.Priority, guaranteed: q.guaranteed}
+func (t *term) victimPool(s *plan.Snapshot, q readyStep, ownFirst, usesComing bool, p *planningPass) *victimPool {
+	class := victimClass{service: q.job.Service, priority: q.job.Priority, guaranteed: q.guaranteed, usesComing: usesComing}
 	if ownFirst {
 		class.organisation = q.job.Organisation
 	}
@@ -51,8 +53,13 @@
 	if pool == nil {
 		pool = &victimPool{runs: t.preemptibleRuns(q, p.overGuarantee, ownFirst)}
 		var victims []plan.Victim
+		var coming []plan.Freed
+		if usesComing {
+			coming = t.comingRoom(s, q, p.now)
+			t.dropEnding(pool.runs, q, p.now)
+		}
 		victims, pool.units = t.victims(s, pool.runs, class.organisation, p.now)
-		pool.set = plan.NewVictims(victims)
+		pool.set = plan.NewVictims(victims, coming)
 		p.victimPools[class] = pool
 	}
 	return pool
@@ -67,9 +74,12 @@
 		t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		return true
 	}
+	// Room that was coming and that has not come in time is not counted on again.
+	_, overdue := q.job.claims[q.step]
+	overdue = overdue && q.job.activeClaims(q.step, now) == nil
 	delete(q.job.claims, q.step)
-	preemption, pool := t.findVictims(s, q, request, inCap, p)
-	if preemption == nil {
+	preemption, pool := t.findVictims(s, q, request, inCap, !overdue, p)
+	if preemption == nil || !t.stopsFor(q, preemption.Cost) {
 		return false
 	}
 	q.job.claims[q.step] = claim{expiresAt: now + t.bounds.StopTimeout + preemptRetrySlack, tasks: preemption.Claims}
@@ -77,11 +87,16 @@
 	t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 	pool.set.Take(preemption)
 	p.keepOnlyPool(pool)
+	if len(preemption.Victims) == 0 {
+		t.metrics.comingRoom.Inc(1)
+		t.log.Info("a job waits for room that is coming", zap.String("job", q.job.ID), zap.Int("step", q.step), zap.Int("tasks", request.Tasks))
+	}
 	for _, v := range preemption.Victims {
 		u := pool.units[v.ID]
 		t.metrics.preemptions.Inc(1)
 		t.log.Info("work is stopped for an urgent job", zap.String("job", q.job.ID), zap.String("victim", u.job.ID),
 			zap.Int("step", u.step), zap.Int("runs", len(pool.runs[u])), zap.Float64("loss_core_ms", v.Cost))
+		u.job.displaced[pool.runs[u][0].moveKey()]++
 		for _, r := range pool.runs[u] {
 			t.requestStop(r)
 		}
@@ -93,7 +108,7 @@
 // that need not start together get room for as many as preemption allows. Where the cap is what
 // the request lacks, runs of its own organisation must give way first: it could not use the room
 // of others.
-func (t *term) findVictims(s *plan.Snapshot, q readyStep, request *plan.Request, inCap int, p *planningPass) (*plan.Preemption, *victimPool) {
+func (t *term) findVictims(s *plan.Snapshot, q readyStep, request *plan.Request, inCap int, usesComing bool, p *planningPass) (*plan.Preemption, *victimPool) {
 	if !t.capIsConfirmed(q.job.Organisation) {
 		return nil, nil
 	}
@@ -101,7 +116,7 @@
 	part.Owner = q.job.Organisation
 	for {
 		part.Shortfall = t.quota.Shortfall(part.Owner, part.Step.Demand, part.Tasks)
-		pool := t.victimPool(s, q, part.Shortfall != (work.Resources{}), p)
+		pool := t.victimPool(s, q, part.Shortfall != (work.Resources{}), usesComing, p)
 		s.Exclude(p.resting())
 		preemption := s.Preempt(&part, pool.set)
 		s.RestoreExcluded()
@@ -165,10 +180,7 @@
 			if r.stopping || (r.step().MaxUnavailable > 0 && !t.mayMakeUnavailable(r, allowance)) {
 				continue
 			}
-			u := preemptionUnit{job: j, step: j.StepNumber(r.name.Task), index: r.name.Task.Index}
-			if r.step().Gang {
-				u.index = -1
-			}
+			u := r.unit()
 			out[u] = append(out[u], r)
 		}
 	}
--- a/internal/engine/scheduler/queue_order.go
+++ b/internal/engine/scheduler/queue_order.go
@@ -1,27 +1,28 @@
 package scheduler
 
-import "cmp"
+import (
+	"cmp"
+	"time"
 
-// compareReady orders steps by priority, then guaranteed before other jobs, then
-// long-running before other steps, then steps that are not late yet, then by deadline.
+	"github.com/daisyfold/daisyfold/internal/engine/urgency"
+)
+
+// compareReady orders steps by package urgency. Steps between which it makes no difference are
+// ordered by the id of the job and the number of the step, so that the order does not change from
+// pass to pass.
 func compareReady(a, b readyStep, wallMS int64) int {
-	late := func(r readyStep) int { return boolRank(r.job.DeadlineMS(r.step) < wallMS) }
-	longRunning := func(r readyStep) bool { return r.job.StepAt(r.step).LongRunning }
-	return cmp.Or(
-		cmp.Compare(a.job.Priority, b.job.Priority),
-		cmp.Compare(boolRank(!a.guaranteed), boolRank(!b.guaranteed)),
-		cmp.Compare(boolRank(!longRunning(a)), boolRank(!longRunning(b))),
-		cmp.Compare(late(a), late(b)),
-		cmp.Compare(a.job.DeadlineMS(a.step), b.job.DeadlineMS(b.step)),
-		cmp.Compare(a.job.ID, b.job.ID),
-		cmp.Compare(a.step, b.step),
-	)
+	return cmp.Or(urgency.Compare(a.urgency, b.urgency, wallMS), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.step, b.step))
 }
 
-// boolRank returns 0 for false and 1 for true.
-func boolRank(b bool) int {
-	if b {
-		return 1
+// work returns the waiting step as the input of package urgency. Tasks without an estimate are
+// assumed to take minLiftTime.
+func (q readyStep) work(now time.Duration) urgency.Work {
+	step := q.job.StepAt(q.step)
+	estimateMS := max(int64(step.EstimateMS), minLiftTime.Milliseconds())
+	return urgency.Work{
+		Priority: q.job.Priority, Guaranteed: q.guaranteed, LongRunning: step.LongRunning, WithinRate: true,
+		DeadlineMS: q.job.DeadlineMS(q.step), WorthlessMS: q.job.WorthlessMS(q.step),
+		Needed:    float64(len(q.tasks)) * step.Demand.Cores() * float64(estimateMS),
+		WaitingMS: (now - q.job.waitingSince[q.step]).Milliseconds(), RemainingMS: max(int64(q.job.RemainingPathMS(q.step)), estimateMS),
 	}
-	return 0
 }
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -119,8 +119,10 @@
 
 // metrics holds the scheduler's counters and timers.
 type metrics struct {
-	starts, stops, paces            gometrics.Counter
-	preemptions, takeovers          gometrics.Counter
+	starts, stops, paces   gometrics.Counter
+	preemptions, takeovers gometrics.Counter
+	// comingRoom counts how often a step waited for room that was coming instead of a preemption.
+	comingRoom                      gometrics.Counter
 	appendTime, startTime, waitTime gometrics.Timer
 	planTime, roundTime             gometrics.Timer
 	startAnswers                    map[workers.Outcome]gometrics.Counter
@@ -138,7 +140,7 @@
 	}
 	timer := func(name string) gometrics.Timer { return gometrics.GetOrRegisterTimer("scheduler."+name, r) }
 	m := metrics{
-		starts: counter("starts"), stops: counter("stops"), paces: counter("paces"), preemptions: counter("preemptions"),
+		starts: counter("starts"), stops: counter("stops"), paces: counter("paces"), preemptions: counter("preemptions"), comingRoom: counter("preemptions_avoided"),
 		takeovers: counter("takeovers"), unansweredStarts: counter("starts_unanswered"), panics: counter("panics"),
 		workerCrashes: counter("worker_crashes"), crashFailures: counter("crash_failures"),
 		rejectedAppends: counter("rejected_appends"),
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -34,6 +34,9 @@
 	// moves counts how often a task was moved off a slow worker; a gang counts under its
 	// first task.
 	moves map[work.TaskName]int
+	// displaced counts how often a task was stopped for other work; a gang counts under its first
+	// task. A new owner counts from 0.
+	displaced map[work.TaskName]int
 	// starts postpones the starts of a step that a worker has rejected as malformed, by step.
 	starts map[int]*retry
 	// waitingSince is when a step became ready, by step, while it has unplaced tasks.
--- a/internal/engine/scheduler/stop_cost.go
+++ b/internal/engine/scheduler/stop_cost.go
@@ -1,18 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
 
-// priorityWeight returns the weight of lost work by its priority, so that urgent runs of
-// other organisations are stopped last.
-func priorityWeight(priority int) float64 {
-	switch priority {
-	case 0:
-		return 100
-	case 1:
-		return 2
-	}
-	return 1
-}
+	"github.com/daisyfold/daisyfold/internal/engine/urgency"
+)
 
 // longRunningStopCost is the work that counts as lost when a long-running task is
 // stopped: it is unavailable to its users until it runs again, so other runs are stopped
@@ -23,21 +15,33 @@
 // lost work.
 const restartCost = 500 * time.Millisecond
 
-// stopCost returns the work that is lost by stopping a run, in core milliseconds weighted
-// by priority. An accelerator counts as eight cores.
+// stopCost returns the cost of stopping a run, see urgency.StopCost.
 func (t *term) stopCost(r *run, now time.Duration) float64 {
-	const acceleratorCores, milliCoresPerCore = 8, 1000
-	since := r.startedAt
-	if r.step().SavesProgress && r.checkpointAt > since {
-		since = r.checkpointAt
+	return urgency.StopCost(r.work(now), t.WallClock().UnixMilli())
+}
+
+// work returns the run as the input of package urgency.
+func (r *run) work(now time.Duration) urgency.Work {
+	step, number := r.step(), r.job.StepNumber(r.name.Task)
+	cores := step.Demand.Cores()
+	w := urgency.Work{
+		Priority: r.job.Priority, LongRunning: step.LongRunning, WithinRate: true, Stops: r.job.displaced[r.moveKey()],
+		DeadlineMS: r.job.DeadlineMS(number), WorthlessMS: r.job.WorthlessMS(number),
+		Needed: cores * float64(step.EstimateMS),
 	}
-	lost := restartCost
-	if since > 0 && !r.step().SavesProgress {
-		lost += now - since
+	if step.LongRunning {
+		// It has no end that could be late.
+		w.Needed, w.Done = 0, cores*float64(longRunningStopCost.Milliseconds())
+		return w
 	}
-	if r.step().LongRunning {
-		lost = longRunningStopCost
+	remaining := r.remainingTime(now)
+	again, lost := remaining+restartCost, restartCost
+	if !step.SavesProgress {
+		again = restartCost + time.Duration(step.EstimateMS)*time.Millisecond
+		if r.startedAt > 0 {
+			lost += now - r.startedAt
+		}
 	}
-	cores := float64(r.demand.CPU)/milliCoresPerCore + acceleratorCores*float64(r.demand.Accelerators)
-	return cores * float64(lost.Milliseconds()) * priorityWeight(r.job.Priority)
+	w.RemainingMS, w.RestartedMS, w.Done = remaining.Milliseconds(), again.Milliseconds(), cores*float64(lost.Milliseconds())
+	return w
 }
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -260,7 +260,7 @@
 }
 
 func (t *term) addJob(submitted *work.Job, state *work.State) *job {
-	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, moves: map[work.TaskName]int{}, starts: map[int]*retry{}, waitingSince: map[int]time.Duration{}, spreadableSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
+	j := &job{Job: submitted, state: state, runs: map[*run]bool{}, moves: map[work.TaskName]int{}, displaced: map[work.TaskName]int{}, starts: map[int]*retry{}, waitingSince: map[int]time.Duration{}, spreadableSince: map[int]time.Duration{}, claims: map[int]claim{}, advice: map[int]*advice{}}
 	t.jobs[submitted.ID] = j
 	t.quota.NoteJob(submitted.Organisation, submitted.ID, submitted.AcceptedMS)
 	return j
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -40,6 +40,16 @@
 	return Resources{r.CPU * n, r.MemoryMB * n, r.Accelerators * n}
 }
 
+// acceleratorCores is what an accelerator counts in cores where amounts of work are compared, as on
+// the platform's pages.
+const acceleratorCores = 8
+
+// Cores returns the number of cores, with the accelerators added as such.
+func (r Resources) Cores() float64 {
+	const milliCoresPerCore = 1000
+	return float64(r.CPU)/milliCoresPerCore + acceleratorCores*float64(r.Accelerators)
+}
+
 // Step is a set of identical tasks. EstimateMS is the estimated duration of a task.
 type Step struct {
 	Tasks      int       `json:"n"`
@@ -216,12 +226,40 @@
 	return longest
 }
 
+// RemainingPathMS returns the duration of the longest chain of dependent steps that begins with the
+// given one, by their estimates.
+func (j *Job) RemainingPathMS(step int) int {
+	first := step % len(j.Steps)
+	ends := map[int]int{first: j.Steps[first].EstimateMS}
+	longest := ends[first]
+	for i := first + 1; i < len(j.Steps); i++ {
+		for _, earlier := range j.Steps[i].After {
+			if end, ok := ends[earlier]; ok {
+				ends[i] = max(ends[i], end+j.Steps[i].EstimateMS)
+			}
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // DeadlineMS returns the time in Unix milliseconds by which the occurrence of a step
 // should be complete.
 func (j *Job) DeadlineMS(step int) int64 {
 	return max(j.AcceptedMS, j.DueMS(step)) + int64(j.Stretch*float64(j.CriticalPathMS())) + int64(j.ObjectiveMS)
 }
 
+// worthlessFactor is the multiple of a job's objective after which its completion is worth nothing
+// to its caller, by the platform's pages.
+const worthlessFactor = 3
+
+// WorthlessMS returns the time in Unix milliseconds from which the completion of the occurrence of a
+// step is worth nothing to the caller.
+func (j *Job) WorthlessMS(step int) int64 {
+	due := max(j.AcceptedMS, j.DueMS(step))
+	return due + worthlessFactor*(j.DeadlineMS(step)-due)
+}
+
 // Limits of the values that a job's record takes from the manifest.
 const (
 	maxStretch     = 1e6
--- a/internal/engine/work/job_test.go
+++ b/internal/engine/work/job_test.go
@@ -68,3 +68,14 @@
 		}
 	})
 }
+
+// TestRemainingPath guards against a remaining time that counts steps that do not depend on the
+// given one, or that are done.
+func TestRemainingPath(t *testing.T) {
+	j := &Job{Steps: []Step{{EstimateMS: 100}, {EstimateMS: 20, After: []int{0}}, {EstimateMS: 700}, {EstimateMS: 3, After: []int{1, 2}}}}
+	for step, want := range []int{123, 23, 703, 3} {
+		if got := j.RemainingPathMS(step); got != want {
+			t.Errorf("%d ms remain from step %d, want %d", got, step, want)
+		}
+	}
+}
