Keep empty workers for urgent work by its arrivals

Cause: On full workers each urgent gang waits for a stop, up to 0.9 s and then the start, while its objective leaves half of its run time and 0.25 s. Change: Empty workers, in as few racks as possible, are kept from less urgent work for twice what arrives while a stop takes effect, by the urgent jobs accepted in the last 10 s, at most a quarter of the workers. Nothing is stopped to get them, and nothing is kept while less than half is in use. Work that has waited for 30 s and long-running work may use them; urgent work beyond its organisation's rate may not. Turning jobs away was not begun (docs/design/shortage.md).

--- a/internal/engine/plan/plan.go
+++ b/internal/engine/plan/plan.go
@@ -158,6 +158,9 @@
 	// excluded holds the free resources that Exclude hides, by worker.
 	excluded     map[*Node]work.Resources
 	reservations []reservation
+	// keptEmpty are the workers that KeepEmpty hides; keepsEmpty reports whether it was called.
+	keptEmpty  []*Node
+	keepsEmpty bool
 	// racksOf holds the result of racks for the first rackedNodes workers.
 	racksOf     [][]*Node
 	rackedNodes int
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -87,11 +87,13 @@
 			t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		}
 	}
+	headroom := t.headroom(snapshots)
 	for _, q := range queue {
 		s := snapshots[q.job.Service]
 		if s == nil {
 			continue
 		}
+		headroom.apply(s, q, p)
 		t.placeStep(s, q, p)
 	}
 	t.recordCaps(p.waiting, p.held, now)
--- a/internal/engine/scheduler/scheduler.go
+++ b/internal/engine/scheduler/scheduler.go
@@ -122,7 +122,9 @@
 	starts, stops, paces   gometrics.Counter
 	preemptions, takeovers gometrics.Counter
 	// comingRoom counts how often a step waited for room that was coming instead of a preemption.
-	comingRoom                      gometrics.Counter
+	comingRoom gometrics.Counter
+	// headroom is the number of workers that the last planning pass kept for urgent work.
+	headroom                        gometrics.Gauge
 	appendTime, startTime, waitTime gometrics.Timer
 	planTime, roundTime             gometrics.Timer
 	startAnswers                    map[workers.Outcome]gometrics.Counter
@@ -140,7 +142,7 @@
 	}
 	timer := func(name string) gometrics.Timer { return gometrics.GetOrRegisterTimer("scheduler."+name, r) }
 	m := metrics{
-		starts: counter("starts"), stops: counter("stops"), paces: counter("paces"), preemptions: counter("preemptions"), comingRoom: counter("preemptions_avoided"),
+		starts: counter("starts"), stops: counter("stops"), paces: counter("paces"), preemptions: counter("preemptions"), comingRoom: counter("preemptions_avoided"), headroom: gometrics.GetOrRegisterGauge("scheduler.headroom_workers", r),
 		takeovers: counter("takeovers"), unansweredStarts: counter("starts_unanswered"), panics: counter("panics"),
 		workerCrashes: counter("worker_crashes"), crashFailures: counter("crash_failures"),
 		rejectedAppends: counter("rejected_appends"),
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -90,6 +90,8 @@
 	firstPolls     firstPolls
 	startQueue     startQueue
 	stopsInFlight  inFlight[*run]
+	// headroomLoggedAt is when the headroom was last logged.
+	headroomLoggedAt time.Duration
 	// quota is charged for the runs of all workers.
 	quota *quota.Ledger
 	caps  capState
--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -63,6 +63,10 @@
 			{"large", "key", "normal", 3, time.Second, gangOf(8, largeTask, 4000)},
 			{"later", "key", "batch", 60, 100 * time.Millisecond, work.Step{Tasks: 3, Demand: smallTask, EstimateMS: 3000}},
 		}, map[string]int{"large": 2, "small": 60, "later": 30}, 100},
+		{"steady urgent gangs among batch work that fills every gap", []submission{
+			{"batch", "key", "batch", 40, 50 * time.Millisecond, work.Step{Tasks: 24, Demand: smallTask, EstimateMS: 3000}},
+			{"urgent", "guest-key", "urgent", 24, 500 * time.Millisecond, gangOf(2, largeTask, 300)},
+		}, map[string]int{"urgent": 18}, 100},
 		{"all late", []submission{
 			{"batch gang", "key", "batch", 8, 0, gangOf(12, largeTask, 4000)},
 			{"late", "guest-key", "urgent", 6, 0, gangOf(12, largeTask, 4000)},
