--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -165,6 +165,22 @@
 	return queue, organisation, nil
 }
 
+// Admit checks a submission by its header, before its body is received. It returns the
+// organisation that holds the key, which is empty for a public queue, or the answer to a
+// submission that is refused.
+func (s *Service) Admit(c Call) (organisation string, refused *Answer) {
+	start := time.Now()
+	_, owner, refused := s.admit(c)
+	switch {
+	case refused != nil:
+		s.updateMetrics("submission", *refused, start)
+		s.log("submission", c, "", *refused)
+	case owner != nil:
+		organisation = owner.Name
+	}
+	return organisation, refused
+}
+
 // Submit accepts a job. The caller sets the job's id, steps, spec and times; the other
 // fields are set from the queue. A job that was already accepted is not changed.
 func (s *Service) Submit(ctx context.Context, c Call, job work.Job) Answer {
