--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -28,8 +28,8 @@
 	maxStops int
 }
 
-// slack returns the part of the objective that is not multiplied by the chain, and the factor, by
-// queue, as in the default manifest.
+// objective returns the time within which a job of one step should be complete, as in the default
+// manifest.
 func objective(queue string, step work.Step) time.Duration {
 	stretch, fixed := 3.0, time.Second
 	switch queue {
