--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/health"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
+	"github.com/daisyfold/daisyfold/internal/engine/urgency"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
 
@@ -49,9 +50,7 @@
 	// guaranteed reports whether the job is urgent and its organisation needs no more
 	// accelerators than it is guaranteed.
 	guaranteed bool
-	// withinRate and share order the step among those of its priority, see package quota.
-	withinRate bool
-	share      float64
+	urgency    urgency.Work
 }
 
 // planQueue places the waiting tasks on workers. It does nothing while an append is in
@@ -88,11 +87,13 @@
 			t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		}
 	}
+	headroom := t.headroom(snapshots)
 	for _, q := range queue {
 		s := snapshots[q.job.Service]
 		if s == nil {
 			continue
 		}
+		headroom.apply(s, q, p)
 		t.placeStep(s, q, p)
 	}
 	t.recordCaps(p.waiting, p.held, now)
@@ -169,6 +170,9 @@
 			}
 		}
 	}
+	for i := range queue {
+		queue[i].urgency = queue[i].work(now)
+	}
 	return queue
 }
 
@@ -316,7 +320,7 @@
 		sharing.Tasks = inCap
 		t.stopBestEffortRuns(s, &sharing)
 	}
-	if q.mayPreempt() && t.preempt(s, q, &unplaced, inCap, p) {
+	if t.stopsFor(q, 0) && t.preempt(s, q, &unplaced, inCap, p) {
 		return
 	}
 	if step.Gang && inCap > 0 && p.reservations < maxReservations {
