Relay calls to a peer when the store fails a host

Cause: a host that alone has lost the store, or is turned away by it, refused its callers or left them without an answer, beside hosts that could have accepted their jobs. Change: internal/engine/relay keeps a directory of hosts in keyed.statuses, passes a call to up to three peers, one after the other, and executes the calls of peers with this host's own manifest and store. intake asks a peer at once while the store fails, after a refusal, or beside an append that waits for 0.25 s; it returns a refusal only if no attempt can have been executed, and no answer of an older manifest than callers have seen. store.Watched remembers failing reads and writes. The setting portRange turns it on. Readiness is unchanged.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -72,6 +72,7 @@
 	failNext map[string]bool
 	// platformFormat is the option of the same name.
 	platformFormat bool
+	peers          *peerNetwork // nil if the hosts do not relay calls
 }
 
 type testHost struct {
@@ -102,6 +103,8 @@
 	limits store.Limits
 	// platformFormat makes the records of the workers and the operators those of the platform.
 	platformFormat bool
+	// relay makes the hosts relay calls.
+	relay bool
 }
 
 func newCluster(t *testing.T, o clusterOptions) *cluster {
@@ -115,6 +118,9 @@
 	s := standin.NewStore(o.seed)
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &cluster{t: t, store: s, limits: o.limits, hosts: map[string]*testHost{}, cpuShares: o.cpuShares, platformFormat: o.platformFormat, start: time.Now(), log: o.log, ctx: ctx, cancel: cancel, busyTime: map[string]time.Duration{}, failNext: map[string]bool{}}
+	if o.relay {
+		c.peers = newPeerNetwork()
+	}
 	fleetOptions := standin.FleetOptions{
 		MaxLease: maxLease, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second,
 		SaveInterval: 2 * time.Second, Restore: 250 * time.Millisecond, HeartbeatInterval: heartbeatInterval, CrossRackSlowdown: 3, Seed: o.seed, NewIDAfterCrash: o.newIDAfterCrash, StaleEntries: o.staleEntries, EndsPageSize: o.endsPageSize, OrderTime: o.orderTime, GangBreakTime: o.gangBreakTime,
@@ -225,7 +231,14 @@
 	if c.platformFormat {
 		o.DecodeOperator, o.DecodeWorker, o.EncodeWaveStatus = platform.DecodeOperator, platform.DecodeWorker, platform.EncodeWaveStatus
 	}
+	if c.peers != nil {
+		o.PeerTransport, o.Zone = c.peers, hostZone(name)
+	}
 	e := engine.New(o)
+	if c.peers != nil {
+		c.peers.add(name, e.Relay)
+		go func() { _ = e.Relay.Register(ctx, peerAddress(name)) }()
+	}
 	h := &testHost{Engine: e, name: name, metrics: registry, cancel: cancel, done: make(chan struct{})}
 	c.mu.Lock()
 	c.hosts[name] = h
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/boottime"
 	"github.com/daisyfold/daisyfold/internal/engine/intake"
+	"github.com/daisyfold/daisyfold/internal/engine/relay"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/scheduler"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
@@ -80,7 +81,11 @@
 	// MinMembershipTTL is the shortest time to live of a group membership that the store
 	// allows.
 	MinMembershipTTL time.Duration
-	Now              boottime.Clock
+	// PeerTransport sends calls to the other hosts, and Zone is the availability zone of this
+	// host; nil means that the hosts do not relay calls.
+	PeerTransport relay.Transport
+	Zone          string
+	Now           boottime.Clock
 	// WallClock returns the time of day.
 	WallClock func() time.Time
 	Metrics   gometrics.Registry
@@ -96,6 +101,8 @@
 	followers []*replica.Follower
 	elector   *tenure.Elector
 	scheduler *scheduler.Scheduler
+	// Relay executes the calls of other hosts; nil if the hosts do not relay calls.
+	Relay *relay.Service
 }
 
 // New returns an engine. RunFollowers and RunScheduler start it.
@@ -113,6 +120,17 @@
 		Jobs:     replica.NewJobs(o.Now, newRejections(replica.TopicJobs, "replica"), newRejections(replica.TopicStatuses, "replica")),
 		Operator: replica.NewOperator(o.DecodeOperator, newRejections(o.OperatorTopic, "manifest"), partLogger("manifest")),
 	}
+	statusSink := e.Jobs.Statuses()
+	var peers intake.Peers
+	if o.PeerTransport != nil {
+		watched := store.Watch(o.Store, o.Now)
+		o.Store = watched
+		e.Relay = relay.New(relay.Options{
+			Host: o.Host, Zone: o.Zone, Store: watched, Transport: o.PeerTransport, Operator: e.Operator,
+			Now: o.Now, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("relay"),
+		})
+		peers, statusSink = e.Relay, replica.Sinks{statusSink, e.Relay.Directory}
+	}
 	statusesReadInterval := func() time.Duration {
 		if e.elector.Outranked() {
 			return outrankedReadInterval
@@ -132,7 +150,7 @@
 	e.Operator.SetFollower(operator)
 	submissions := newFollower(replica.TopicJobs, e.Jobs.Submissions(), jobsReadWait, jobsReadInterval)
 	submissions.StartDelay = time.Duration(float64(maxLoadDelay)*(1-min(o.CPUShare, 1))) + rand.N(loadJitter)
-	statuses := newFollower(replica.TopicStatuses, e.Jobs.Statuses(), statusesReadWait, statusesReadInterval)
+	statuses := newFollower(replica.TopicStatuses, statusSink, statusesReadWait, statusesReadInterval)
 	e.followers = []*replica.Follower{operator, submissions, statuses}
 	e.elector = tenure.New(tenure.Options{
 		Store: o.Store, Host: o.Host, Incarnation: o.WallClock().UnixNano(), CPUShare: o.CPUShare,
@@ -149,8 +167,11 @@
 	})
 	e.Intake = intake.New(intake.Options{
 		Store: o.Store, Operator: e.Operator, Jobs: e.Jobs, Submissions: submissions, Statuses: statuses,
-		StoreLimits: o.StoreLimits, MaxRevocationDelay: o.MaxRevocationDelay, HasAdvisor: o.Advisor != nil, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("intake"),
+		StoreLimits: o.StoreLimits, MaxRevocationDelay: o.MaxRevocationDelay, HasAdvisor: o.Advisor != nil, Peers: peers, WallClock: o.WallClock, Metrics: o.Metrics, Logger: partLogger("intake"),
 	})
+	if e.Relay != nil {
+		e.Relay.SetIntake(e.Intake)
+	}
 	return e
 }
 
--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -75,6 +75,7 @@
 		Bounds:             bounds(s),
 		StoreLimits:        store.Limits{RecordBytes: s.StoreRecordBytes, CallBytes: s.StoreCallBytes},
 		MaxRevocationDelay: s.MaxRevocationDelay, MinMembershipTTL: s.MinMembershipTTL,
+		PeerTransport: peerTransport(s), Zone: s.Zone,
 		Now: boottime.Now, WallClock: time.Now, Metrics: h.registry, Logger: log,
 	})
 	return h
@@ -153,6 +154,8 @@
 	serve(group, readyServer, readyListener)
 	serve(group, metricsServer, metricsListener)
 	group.Go(func() error { return h.engine.RunFollowers(followerCtx) })
+	closeRelay := h.serveRelay(followerCtx, group)
+	defer closeRelay()
 	schedulerCtx, stopScheduler := context.WithCancel(followerCtx)
 	defer stopScheduler()
 	schedulerStopped := make(chan struct{})
@@ -165,6 +168,7 @@
 	stopScheduler() // takes its time while callers are served
 	h.drain(frontServer, deadlines)
 	waitUntil(schedulerStopped, deadlines.End)
+	closeRelay()
 	_, _ = readyServer.Close(), metricsServer.Close() // open probes and scrapes may be aborted
 	stopFollowers()
 	err = h.waitForGroup(group, deadlines.End)
--- a/internal/engine/host/shutdown.go
+++ b/internal/engine/host/shutdown.go
@@ -48,6 +48,9 @@
 // beginStop reports the host as not ready and returns the deadlines of the stop.
 func (h *Host) beginStop() drain.Deadlines {
 	h.stopping.Store(true)
+	if h.engine.Relay != nil {
+		h.engine.Relay.Stop()
+	}
 	grace := time.Duration(h.gracePeriod.Load())
 	h.log.Info("drain", zap.Duration("grace", grace))
 	return shutdownDeadlines(time.Now(), grace)
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -59,11 +59,20 @@
 	Key        string
 	// Timeout is how long the caller waits for the response.
 	Timeout time.Duration
+	// Relayed reports whether a peer has passed the call on. The peer allows for the transfer
+	// of the response.
+	Relayed bool
+	// MinManifest is the least version of the manifest with which the call may be answered; 0
+	// means any.
+	MinManifest int64
 }
 
 // withTimeout returns a context that ends early enough for the response to reach the caller
 // in time.
 func (c Call) withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.Relayed {
+		return context.WithTimeout(ctx, c.Timeout)
+	}
 	return context.WithTimeout(ctx, max(c.Timeout-responseMargin, responseMargin))
 }
 
@@ -106,8 +115,10 @@
 	HasAdvisor bool
 	// WallClock returns the time of day, for the time of acceptance.
 	WallClock func() time.Time
-	Metrics   gometrics.Registry
-	Logger    *zap.Logger
+	// Peers is nil if the hosts do not relay calls.
+	Peers   Peers
+	Metrics gometrics.Registry
+	Logger  *zap.Logger
 }
 
 // Service executes the calls of callers.
@@ -117,6 +128,8 @@
 	// maxKeyStalenessNS is the staleness of the manifest, in nanoseconds, up to which keys
 	// are accepted.
 	maxKeyStalenessNS atomic.Int64
+	// shownManifest is the newest version with which a peer has answered a caller of this host.
+	shownManifest version
 }
 
 // New returns a service with the given options.
@@ -147,6 +160,9 @@
 	if view.Manifest == nil {
 		return nil, "", &Answer{Outcome: TryLater, Reason: "no manifest yet", RetryAfter: retryAfter}
 	}
+	if view.Manifest.Version < max(c.MinManifest, s.shownManifest.Load()) {
+		return nil, "", &Answer{Outcome: TryLater, Reason: "a newer manifest is in force", RetryAfter: retryAfter}
+	}
 	queue := view.Manifest.Route(c.Host, c.Path)
 	if queue == nil {
 		return nil, "", &Answer{Outcome: NoQueue, Reason: "no queue matches the host and path"}
@@ -170,12 +186,18 @@
 	start := time.Now()
 	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
-	a := s.submit(ctx, c, &job)
+	sent := job
+	a := s.serve(ctx, Request{Operation: Submission, Call: c, ID: job.ID, Job: &sent}, func(ctx context.Context) (Answer, bool) {
+		return settle(s.submit(ctx, c, &job))
+	})
 	s.updateMetrics("submission", a, start)
 	s.log("submission", c, job.ID, a)
 	return a
 }
 
+// settle returns an answer, and whether no peer may know a better one.
+func settle(a Answer) (Answer, bool) { return a, a.Outcome != TryLater && a.Outcome != Unknown }
+
 func (s *Service) submit(ctx context.Context, c Call, job *work.Job) Answer {
 	queue, organisation, refused := s.admit(c)
 	if refused != nil {
@@ -210,7 +232,9 @@
 	start := time.Now()
 	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
-	a := s.cancel(ctx, c, id)
+	a := s.serve(ctx, Request{Operation: Cancellation, Call: c, ID: id}, func(ctx context.Context) (Answer, bool) {
+		return settle(s.cancel(ctx, c, id))
+	})
 	s.updateMetrics("cancellation", a, start)
 	s.log("cancellation", c, id, a)
 	return a
@@ -240,34 +264,62 @@
 func (s *Service) Status(ctx context.Context, c Call, id string) Answer {
 	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
+	a := s.serve(ctx, Request{Operation: StatusQuery, Call: c, ID: id}, func(ctx context.Context) (Answer, bool) {
+		return s.status(ctx, c, id)
+	})
+	// The copy of a peer may be the older one.
+	e, known := s.Jobs.Get(id)
+	switch {
+	case known && e.Job != nil && a.Outcome == OK:
+		a.Status = later(a.Status, statusOf(e))
+	case known && e.Job != nil && a.Outcome == NoJob:
+		a = Answer{Outcome: OK, Status: statusOf(e)}
+	}
+	if a.Outcome != OK {
+		s.log("status", c, id, a)
+	}
+	return a
+}
+
+// status returns the status of a job according to this host, and whether no peer may know a
+// newer one.
+func (s *Service) status(ctx context.Context, c Call, id string) (Answer, bool) {
 	if _, _, refused := s.admit(c); refused != nil {
-		s.log("status", c, id, *refused)
-		return *refused
+		return settle(*refused)
 	}
 	e, known, refused := s.lookup(ctx, id)
 	if refused != nil {
-		s.log("status", c, id, *refused)
-		return *refused
+		return settle(*refused)
 	}
 	if e.Unreadable {
-		return Answer{Outcome: OK, Status: unreadableStatus(e)}
+		return Answer{Outcome: OK, Status: unreadableStatus(e)}, true
 	}
 	if !known || e.Job == nil {
-		a := Answer{Outcome: NoJob, Reason: "no such job"}
-		s.log("status", c, id, a)
-		return a
+		return Answer{Outcome: NoJob, Reason: "no such job"}, true
 	}
+	settled := true
 	if !e.Status.Ended() {
-		if e, refused = s.refresh(ctx, id, e); refused != nil {
-			s.log("status", c, id, *refused)
-			return *refused
+		if e, settled, refused = s.refresh(ctx, id, e); refused != nil {
+			return settle(*refused)
 		}
 	}
-	status := e.Status
-	if e.Cancelled && !status.Ended() {
-		status = work.Cancelled
+	return Answer{Outcome: OK, Status: statusOf(e)}, settled
+}
+
+// statusOf returns the status of a job whose record was read.
+func statusOf(e replica.JobEntry) work.Status {
+	if e.Cancelled && !e.Status.Ended() {
+		return work.Cancelled
+	}
+	return e.Status
+}
+
+// later returns the one of two statuses of a job that comes after the other.
+func later(a, b work.Status) work.Status {
+	if a.Ended() || (a == work.Running && !b.Ended()) {
+		return a
 	}
-	return Answer{Outcome: OK, Status: status}
+	return b
 }
 
 // unreadableStatus returns the status of a job whose record cannot be decoded, which no
@@ -282,13 +334,14 @@
 	return work.Failed
 }
 
-// refresh returns a newer entry of a job that has not ended according to the copy. It
-// returns e if the copy is fresh or newer statuses cannot be read. A call is refused if the
-// host has not read any statuses since its start.
-func (s *Service) refresh(ctx context.Context, id string, e replica.JobEntry) (replica.JobEntry, *Answer) {
+// refresh returns a newer entry of a job that has not ended according to the copy, and false if a
+// peer may know a newer one, because the store fails this host. It returns e if the copy is fresh
+// or newer statuses cannot be read. A call is refused if the host has not read any statuses since
+// its start.
+func (s *Service) refresh(ctx context.Context, id string, e replica.JobEntry) (newest replica.JobEntry, settled bool, refused *Answer) {
 	age, ok := s.Statuses.Staleness()
 	if ok && (e.Cancelled || age < maxStatusStaleness) {
-		return e, nil
+		return e, true, nil
 	}
 	if ok {
 		var cancel context.CancelFunc
@@ -297,16 +350,16 @@
 	}
 	err := s.Statuses.SharedSync(ctx)
 	if err != nil && !ok {
-		return e, &Answer{Outcome: TryLater, Reason: "no statuses have been read yet", RetryAfter: retryAfter}
+		return e, false, &Answer{Outcome: TryLater, Reason: "no statuses have been read yet", RetryAfter: retryAfter}
 	}
 	if err != nil {
 		s.Logger.Debug("newer statuses cannot be read; answering from the copy", zap.String("job", id), zap.Duration("age", age), zap.Error(err))
-		return e, nil
+		return e, s.Peers == nil || !s.Peers.StoreFails(StatusQuery), nil
 	}
 	if newer, known := s.Jobs.Get(id); known && newer.Job != nil {
-		return newer, nil
+		return newer, true, nil
 	}
-	return e, nil
+	return e, true, nil
 }
 
 // lookup returns the entry of a job. If the copy has no such job, lookup reads newer
@@ -324,10 +377,21 @@
 }
 
 // CountWaiting returns the number of waiting jobs of a queue.
-func (s *Service) CountWaiting(c Call) Answer {
+func (s *Service) CountWaiting(ctx context.Context, c Call) Answer {
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
+	a := s.serve(ctx, Request{Operation: WaitingCount, Call: c}, func(context.Context) (Answer, bool) {
+		return settle(s.countWaiting(c))
+	})
+	if a.Outcome != OK {
+		s.log("count", c, "", a)
+	}
+	return a
+}
+
+func (s *Service) countWaiting(c Call) Answer {
 	queue, _, refused := s.admit(c)
 	if refused != nil {
-		s.log("count", c, "", *refused)
 		return *refused
 	}
 	return Answer{Outcome: OK, Waiting: s.Jobs.CountWaiting(queue.ID())}
--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// TestRandomDaysWithRelaying is TestRandomDays with hosts that relay calls over a network that
+// loses and delays some of them. It guards against jobs that run twice or not at all because a
+// call was executed by two hosts.
+func TestRandomDaysWithRelaying(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { simulateDay(t, seed, dayKind{relays: true}) })
+		})
+	}
+}
+
 // TestRandomDaysStarveNobody is TestRandomDays with a check that no job has nothing running for
 // maxStarvation once the faults have ended, if there is room for it twice over and less than
 // half of the capacity is in use.
@@ -107,7 +119,7 @@
 }
 
 // dayKind is what a random day has or checks in addition.
-type dayKind struct{ taskCrashes, checksStarvation bool }
+type dayKind struct{ taskCrashes, checksStarvation, relays bool }
 
 func simulateDay(t *testing.T, seed uint64, kind dayKind) {
 	log := zap.NewNop()
@@ -115,12 +127,15 @@
 		log = zaptest.NewLogger(t)
 	}
 	d := &randomDay{
-		cluster: newCluster(t, clusterOptions{hosts: dayHosts, workers: dayWorkers, seed: seed, log: log}),
+		cluster: newCluster(t, clusterOptions{hosts: dayHosts, workers: dayWorkers, seed: seed, log: log, relay: kind.relays}),
 		rng:     rand.New(rand.NewPCG(seed, 3)),
 		kindRNG: rand.New(rand.NewPCG(seed, 5)),
 
 		checksStarvation: kind.checksStarvation,
 	}
+	if kind.relays {
+		d.peers.injectFaults(seed)
+	}
 	if kind.taskCrashes {
 		d.crashRNG = rand.New(rand.NewPCG(seed, 7))
 	}
--- /dev/null
+++ b/internal/engine/relay/http.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// path is the path of relayed calls.
+	path = "/relay/v1/call"
+	// maxMessageBytes bounds a call or a reply. It exceeds the default limit of a submission's
+	// body; a larger call is not relayed.
+	maxMessageBytes = 320 << 10
+	// dialTimeout is how long a peer's kernel may take to accept a connection; a host that is
+	// gone does not answer.
+	dialTimeout = 250 * time.Millisecond
+	// connsPerPeer bounds the connections to a peer.
+	connsPerPeer    = 8
+	idleConnTimeout = 20 * time.Second
+	connBufferBytes = 4 << 10
+	// statusNotExecuted is the status of a response to a call that was not executed.
+	statusNotExecuted = http.StatusServiceUnavailable
+)
+
+var errInvalidReply = trace.BadParameter("the reply is invalid")
+
+func notExecuted(reason string) error { return trace.Wrap(ErrNotExecuted, reason) }
+
+// HTTPTransport sends calls over HTTP with JSON bodies.
+type HTTPTransport struct{ roundTripper http.RoundTripper }
+
+// NewHTTPTransport returns a transport that keeps idle connections for a while.
+func NewHTTPTransport() *HTTPTransport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &HTTPTransport{&http.Transport{
+		DialContext: dialer.DialContext, MaxConnsPerHost: connsPerPeer, MaxIdleConnsPerHost: connsPerPeer,
+		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
+	}}
+}
+
+// Send implements Transport.
+func (t *HTTPTransport) Send(ctx context.Context, address string, r Request) (Reply, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return Reply{}, notExecuted(err.Error())
+	}
+	if len(body) > maxMessageBytes {
+		return Reply{}, notExecuted("the call is too large")
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, notExecuted(err.Error())
+	}
+	request.Header["User-Agent"] = nil
+	response, err := t.roundTripper.RoundTrip(request)
+	if err != nil && !connected.Load() {
+		return Reply{}, trace.Wrap(ErrUnreachable, err.Error())
+	}
+	if err != nil {
+		return Reply{}, trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return decodeReply(response)
+}
+
+func decodeReply(response *http.Response) (Reply, error) {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	switch {
+	case response.StatusCode == statusNotExecuted:
+		return Reply{}, notExecuted(string(data))
+	case err != nil:
+		return Reply{}, trace.Wrap(err)
+	case response.StatusCode != http.StatusOK:
+		return Reply{}, trace.Errorf("the peer returned status %d", response.StatusCode)
+	}
+	reply := Reply{}
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return Reply{}, trace.Wrap(err)
+	}
+	return reply, nil
+}
+
+// NewHandler returns the HTTP handler for the calls of peers.
+func NewHandler(s *Service) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+path, s.serveHTTP)
+	return mux
+}
+
+// serveHTTP serves a call of a peer. It takes one of the places before it reads the body, which
+// bounds the memory for bodies.
+func (s *Service) serveHTTP(rw http.ResponseWriter, request *http.Request) {
+	select {
+	case s.incoming <- struct{}{}:
+		defer func() { <-s.incoming }()
+	default:
+		s.count("relay.received.refused")
+		http.Error(rw, "too many calls of peers", statusNotExecuted)
+		return
+	}
+	var r Request
+	data, err := io.ReadAll(http.MaxBytesReader(rw, request.Body, maxMessageBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &r)
+	}
+	if err != nil {
+		http.Error(rw, err.Error(), statusNotExecuted)
+		return
+	}
+	reply, err := s.Execute(request.Context(), r)
+	if errors.Is(err, ErrNotExecuted) {
+		http.Error(rw, err.Error(), statusNotExecuted)
+		return
+	}
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		panic(err) // cannot fail: a plain struct
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(body) // an error means that the peer closed the connection
+}
--- a/internal/engine/replica/follower.go
+++ b/internal/engine/replica/follower.go
@@ -39,6 +39,23 @@
 	Apply(records []store.Record)
 }
 
+// Sinks passes records on to several sinks, in this order.
+type Sinks []Sink
+
+// Reset implements Sink.
+func (s Sinks) Reset(records []store.Record) {
+	for _, sink := range s {
+		sink.Reset(records)
+	}
+}
+
+// Apply implements Sink.
+func (s Sinks) Apply(records []store.Record) {
+	for _, sink := range s {
+		sink.Apply(records)
+	}
+}
+
 // Options configure a follower.
 type Options struct {
 	Store store.Store
--- a/internal/soak/odd_records_test.go
+++ b/internal/soak/odd_records_test.go
@@ -128,7 +128,7 @@
 	put(platform.TopicOperator, "config", "wave/1", "stray", "")
 	put(platform.TopicStatus, "wave/1", "stray")
 	put(replica.TopicJobs, replica.JobKey("stray"), replica.CancelKey(fmt.Sprintf("%016x", 1)), "stray", "")
-	put(replica.TopicStatuses, replica.StateKey("stray"), "stray", "")
+	put(replica.TopicStatuses, replica.StateKey("stray"), "h/stray", "h/host-0", "stray", "")
 	put(replica.TopicRuns, replica.StateKey("stray"), "stray", "")
 }
 
