--- a/internal/engine/host/relay.go
+++ b/internal/engine/host/relay.go
@@ -5,18 +5,16 @@
 	"errors"
 	"net"
 	"net/netip"
-	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisyfold/daisyfold/internal/engine/drain"
+	"github.com/daisyfold/daisyfold/internal/engine/guard"
 	"github.com/daisyfold/daisyfold/internal/engine/relay"
 	"github.com/daisyfold/daisyfold/platform"
 )
 
-// peerReadTimeout is the time for the whole call of a peer to arrive; a peer waits for less.
-const peerReadTimeout = 2 * time.Second
-
 // peerTransport returns the transport for calls to other hosts, or nil if the settings have no
 // ports for them.
 func peerTransport(s *platform.Settings) relay.Transport {
@@ -37,16 +35,16 @@
 		h.log.Warn("no port is free for relayed calls", zap.Error(err))
 		return func() {}
 	}
-	server := h.newServer(relay.NewHandler(h.engine.Relay))
-	server.ReadTimeout = peerReadTimeout
-	serve(group, server, listener)
+	limits := drain.Limits{Conns: func() int { return guard.MaxPeerConns }, Evicted: func() { h.guard.Refuse(guard.Connections) }}
+	server := drain.NewServer(h.newServer(relay.NewHandler(h.engine.Relay, h.guard)), limits, h.log)
+	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error {
 		if err := h.engine.Relay.Register(ctx, listener.Addr().String()); !errors.Is(err, context.Canceled) {
 			return err
 		}
 		return nil
 	})
-	return func() { _ = server.Close() } // calls of peers were refused since the stop began
+	return server.Close // calls of peers were refused since the stop began
 }
 
 // listenForPeers listens on the first free port for calls between hosts.
--- a/internal/engine/intake/peers.go
+++ b/internal/engine/intake/peers.go
@@ -104,9 +104,34 @@
 	return e.Status.Ended()
 }
 
+// peerMayAdmit reports whether a peer may admit a submission that this host refuses.
+func (s *Service) peerMayAdmit(refused Answer) bool {
+	switch {
+	case s.Peers == nil:
+		return false
+	case refused.Outcome == TryLater:
+		return true
+	}
+	return refused.Outcome == NoQueue && s.Peers.StoreFails(Submission) // the queue may be new
+}
+
+// organisationByKey returns the organisation that holds a key according to the manifest of this
+// host, whatever its age, or "".
+func (s *Service) organisationByKey(key string) string {
+	if m := s.Operator.View().Manifest; m != nil {
+		if o := m.OrganisationByKey(key); o != nil {
+			return o.Name
+		}
+	}
+	return ""
+}
+
 // relay passes a call to a peer and remembers the newest manifest that callers of this host
-// have seen at work.
+// have seen at work. A job that is invalid whatever the manifest is not passed on.
 func (s *Service) relay(ctx context.Context, r Request) Relayed {
+	if r.Job != nil && r.Job.Validate() != nil {
+		return Relayed{}
+	}
 	var relayed Relayed
 	if err := recovery.Call(func() error { relayed = s.Peers.Relay(ctx, r); return nil }); err != nil {
 		s.Logger.Error("relaying a call failed unexpectedly", zap.Error(err))
--- a/internal/engine/relay/http.go
+++ b/internal/engine/relay/http.go
@@ -4,15 +4,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/daisyfold/daisyfold/internal/engine/guard"
 )
 
 const (
@@ -28,6 +30,10 @@
 	connsPerPeer    = 8
 	idleConnTimeout = 20 * time.Second
 	connBufferBytes = 4 << 10
+	// stepBytes is the memory of a step with its lists.
+	stepBytes = 512
+	// bodyOwner pays for the memory of the bodies of peers.
+	bodyOwner = "peers"
 	// statusNotExecuted is the status of a response to a call that was not executed.
 	statusNotExecuted = http.StatusServiceUnavailable
 )
@@ -93,46 +99,69 @@
 	return reply, nil
 }
 
-// NewHandler returns the HTTP handler for the calls of peers.
-func NewHandler(s *Service) http.Handler {
+// NewHandler returns the HTTP handler for the calls of peers. Their bodies share the guard's budget
+// with those of callers.
+func NewHandler(s *Service, g *guard.Guard) http.Handler {
+	h := &handler{service: s, guard: g}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+path, s.serveHTTP)
+	mux.HandleFunc("POST "+path, h.serveHTTP)
 	return mux
 }
 
-// serveHTTP serves a call of a peer. It takes one of the places before it reads the body, which
-// bounds the memory for bodies.
-func (s *Service) serveHTTP(rw http.ResponseWriter, request *http.Request) {
-	select {
-	case s.incoming <- struct{}{}:
-		defer func() { <-s.incoming }()
-	default:
-		s.count("relay.received.refused")
-		http.Error(rw, "too many calls of peers", statusNotExecuted)
+type handler struct {
+	service  *Service
+	guard    *guard.Guard
+	decoding sync.Mutex // one call at a time is decoded, which bounds the memory for it
+}
+
+// serveHTTP serves a call of a peer. It takes one of the places before it reads the body.
+func (h *handler) serveHTTP(rw http.ResponseWriter, request *http.Request) {
+	release, ok := h.service.begin()
+	if !ok {
+		refuse(rw, request, notExecuted("too many calls of peers"))
 		return
 	}
-	var r Request
-	data, err := io.ReadAll(http.MaxBytesReader(rw, request.Body, maxMessageBytes))
-	if err == nil {
-		err = json.Unmarshal(data, &r)
-	}
+	defer release()
+	body, err := h.guard.ReadBody(rw, request, guard.BodyLimits{Organisation: bodyOwner, MaxBytes: maxMessageBytes, Timeout: attemptTimeout})
 	if err != nil {
-		http.Error(rw, err.Error(), statusNotExecuted)
+		refuse(rw, request, err)
 		return
 	}
-	reply, err := s.Execute(request.Context(), r)
-	if errors.Is(err, ErrNotExecuted) {
-		http.Error(rw, err.Error(), statusNotExecuted)
+	defer body.Release()
+	r, err := h.decode(body)
+	if err != nil {
+		refuse(rw, request, err)
 		return
 	}
+	reply, err := h.service.Execute(request.Context(), r)
 	if err != nil {
-		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		refuse(rw, request, err)
 		return
 	}
-	body, err := json.Marshal(reply)
+	data, err := json.Marshal(reply)
 	if err != nil {
 		panic(err) // cannot fail: a plain struct
 	}
 	rw.Header().Set("Content-Type", "application/json")
-	_, _ = rw.Write(body) // an error means that the peer closed the connection
+	_, _ = rw.Write(data) // an error means that the peer closed the connection
+}
+
+// decode decodes a call and reserves the memory of its steps.
+func (h *handler) decode(body *guard.Body) (Request, error) {
+	h.decoding.Lock()
+	defer h.decoding.Unlock()
+	var r Request
+	if err := json.Unmarshal(body.Data, &r); err != nil {
+		return r, trace.Wrap(err)
+	}
+	if r.Job == nil {
+		return r, nil
+	}
+	return r, body.Grow(int64(len(r.Job.Steps)) * stepBytes)
+}
+
+// refuse returns that a call was not executed.
+func refuse(rw http.ResponseWriter, request *http.Request, err error) {
+	guard.RefuseUnread(rw, request)
+	http.Error(rw, err.Error(), statusNotExecuted)
 }
--- a/internal/engine/relay/relay_test.go
+++ b/internal/engine/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 
+	"github.com/daisyfold/daisyfold/internal/engine/guard"
 	"github.com/daisyfold/daisyfold/internal/engine/intake"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
@@ -123,11 +124,15 @@
 	return s, f
 }
 
+func newTestGuard() *guard.Guard {
+	return guard.New(guard.Options{Metrics: gometrics.NewRegistry(), Logger: zap.NewNop()})
+}
+
 // TestHTTP guards against calls and answers that change on their way, against a call that another
 // host at the address executes, and against outcomes that are taken for refusals.
 func TestHTTP(t *testing.T) {
 	peer, f := newTestService(t, "peer")
-	server := httptest.NewServer(NewHandler(peer))
+	server := httptest.NewServer(NewHandler(peer, newTestGuard()))
 	defer server.Close()
 	address := server.Listener.Addr().String()
 	sender, _ := newTestService(t, "sender")
@@ -199,7 +204,7 @@
 	}
 	post := func(body string) int {
 		rw := httptest.NewRecorder()
-		NewHandler(peer).ServeHTTP(rw, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+		NewHandler(peer, newTestGuard()).ServeHTTP(rw, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
 		return rw.Code
 	}
 	const small = `{"to":"peer","operation":"count","timeoutMs":100}`
--- a/internal/engine/relay/service.go
+++ b/internal/engine/relay/service.go
@@ -202,6 +202,17 @@
 
 func (s *Service) count(name string) { gometrics.GetOrRegisterCounter(name, s.Metrics).Inc(1) }
 
+// begin takes a place among the calls of peers, unless there is none. release returns it.
+func (s *Service) begin() (release func(), ok bool) {
+	select {
+	case s.incoming <- struct{}{}:
+		return func() { <-s.incoming }, true
+	default:
+		s.count("relay.received.refused")
+		return nil, false
+	}
+}
+
 // Execute executes a peer's call. Its error wraps ErrNotExecuted if this host cannot serve the
 // call.
 func (s *Service) Execute(ctx context.Context, r Request) (Reply, error) {
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -60,6 +60,9 @@
 					t.Errorf("a job of 1 s is shown as %q after 1.5 s (%s)", a.Status, a.Outcome)
 				}
 				time.Sleep(6 * time.Second) // late appends are executed; keys are no longer accepted without a peer
+				if _, refused := cut.Intake.Admit(newCall("/urgent/")); refused != nil {
+					t.Errorf("after 7.5 s, the header of a submission is refused: %s", refused.Reason)
+				}
 				second, a, _ := c.submitAt(cut, 2)
 				if a.Outcome != intake.OK {
 					t.Errorf("after 7.5 s, a submission returned %s (%s)", a.Outcome, a.Reason)
