--- a/internal/engine/host/host.go
+++ b/internal/engine/host/host.go
@@ -80,6 +80,7 @@
 		Bounds:             bounds(s),
 		StoreLimits:        store.Limits{RecordBytes: s.StoreRecordBytes, CallBytes: s.StoreCallBytes},
 		MaxRevocationDelay: s.MaxRevocationDelay, MinMembershipTTL: s.MinMembershipTTL,
+		PeerTransport: peerTransport(s), Zone: s.Zone,
 		Now: boottime.Now, WallClock: time.Now, Metrics: h.registry, Logger: log,
 	})
 	return h
@@ -162,6 +163,8 @@
 	group.Go(func() error { return readyServer.Serve(readyListener) })
 	group.Go(func() error { return metricsServer.Serve(metricsListener) })
 	group.Go(func() error { return h.engine.RunFollowers(followerCtx) })
+	closeRelay := h.serveRelay(followerCtx, group)
+	defer closeRelay()
 	schedulerCtx, stopScheduler := context.WithCancel(followerCtx)
 	defer stopScheduler()
 	schedulerStopped := make(chan struct{})
@@ -174,6 +177,7 @@
 	stopScheduler() // takes its time while callers are served
 	h.drain(frontServer, deadlines)
 	waitUntil(schedulerStopped, deadlines.End)
+	closeRelay()
 	readyServer.Close() // open probes and scrapes may be aborted
 	metricsServer.Close()
 	stopFollowers()
