--- a/internal/engine/guard/guard.go
+++ b/internal/engine/guard/guard.go
@@ -39,6 +39,8 @@
 	maxOutgoingReserve = 512
 	// MaxOperationConns bounds the connections of the readiness and the metrics endpoint, each.
 	MaxOperationConns = 16
+	// MaxPeerConns bounds the connections of other hosts that relay calls.
+	MaxPeerConns = 48
 	// otherDescriptors are the listeners, the poller and connections that are being accepted.
 	otherDescriptors = 16
 	// minConnsDivisor bounds what the connections of the host itself take from callers.
@@ -116,7 +118,7 @@
 func (g *Guard) maxConnsByDescriptors() int {
 	sockets := max(g.MaxDescriptors-fileDescriptors, 1)
 	outgoing := g.OutgoingConns()
-	reserve := max(outgoing+outgoing/8, min(maxOutgoingReserve, sockets/4)) + 2*MaxOperationConns + otherDescriptors
+	reserve := max(outgoing+outgoing/8, min(maxOutgoingReserve, sockets/4)) + 2*MaxOperationConns + MaxPeerConns + otherDescriptors
 	return max(sockets-reserve, sockets/minConnsDivisor)
 }
 
