Reserve room in a cap for urgent gangs, and take turns with wide steps

Cause: an urgent gang never started inside its organisation's cap beside small urgent tasks that took all that became free; a wide step got more than its organisation's share in one turn; limits of an older manifest counted as confirmed while the loop was busy. Change: gangs that may preempt reserve in the cap as others do, and what waits only for such a reservation stops nothing; steps whose tasks start one by one take turns of 1 % of the workers where weights are set; the ledger's manifest must be the newest one known.

--- a/internal/engine/quota/ledger.go
+++ b/internal/engine/quota/ledger.go
@@ -125,6 +125,12 @@
 // HasCaps reports whether the manifest sets a cap for any organisation.
 func (l *Ledger) HasCaps() bool { return l.capped }
 
+// HasReservation reports whether a gang of the organisation has a reservation.
+func (l *Ledger) HasReservation(organisation string) bool {
+	a := l.accounts[organisation]
+	return a != nil && a.reserved != (work.Resources{})
+}
+
 // IsCapped reports whether the organisation has a cap.
 func (l *Ledger) IsCapped(organisation string) bool {
 	a := l.accounts[organisation]
--- a/internal/engine/quota/share.go
+++ b/internal/engine/quota/share.go
@@ -62,3 +62,13 @@
 	p.ahead[organisation] = ahead.Plus(r)
 	return p.ledger.dominantShare(a.used.Plus(ahead)) / a.weight()
 }
+
+// TasksWithin returns how many of the tasks have at most the given share of all workers together, at
+// least one; all of them if the manifest sets no weights.
+func (l *Ledger) TasksWithin(share float64, demand work.Resources, tasks int) int {
+	one := l.dominantShare(demand)
+	if !l.weighted || one*float64(tasks) <= share {
+		return tasks
+	}
+	return max(int(share/one), 1)
+}
--- a/internal/engine/scheduler/caps.go
+++ b/internal/engine/scheduler/caps.go
@@ -64,7 +64,8 @@
 		return true
 	}
 	view := t.Operator.View()
-	return view.StalenessKnown && view.Staleness <= maxCapStaleness
+	isCurrent := view.Manifest == t.caps.manifest // the ledger has the limits of the newest version
+	return isCurrent && view.StalenessKnown && view.Staleness <= maxCapStaleness
 }
 
 // exceedsCap reports whether a planned run must not be started because its organisation's cap was
@@ -154,17 +155,41 @@
 // orderQueue sorts steps into the order in which they are placed. Where the manifest sets weights,
 // steps of the same priority are ordered by whether their jobs are within the rate of their
 // organisation, and then by the organisation's share.
-func (t *term) orderQueue(queue []readyStep) {
+func (t *term) orderQueue(queue []readyStep) []readyStep {
 	wallMS := t.WallClock().UnixMilli()
 	for i := range queue {
 		queue[i].urgency.WithinRate = t.quota.WithinRate(queue[i].job.ID)
 	}
 	slices.SortFunc(queue, func(a, b readyStep) int { return compareReady(a, b, wallMS) })
+	queue = t.splitSteps(queue)
 	progression := t.quota.Progression()
 	for i, q := range queue {
 		queue[i].urgency.Share = progression.Next(q.job.Organisation, q.job.StepAt(q.step).Demand.Times(len(q.tasks)))
 	}
 	slices.SortStableFunc(queue, func(a, b readyStep) int { return compareReady(a, b, wallMS) })
+	return queue
+}
+
+// maxTurn is the largest share of all workers that a step gets before others have their turn, so
+// that wide steps of an organisation do not take what others are due.
+const maxTurn = 0.01
+
+// splitSteps splits wide steps of which the tasks start one by one, where the manifest sets weights.
+func (t *term) splitSteps(queue []readyStep) []readyStep {
+	out := make([]readyStep, 0, len(queue))
+	for _, q := range queue {
+		n := len(q.tasks)
+		if step := q.job.StepAt(q.step); !step.Gang && !q.mayPreempt() {
+			n = t.quota.TasksWithin(maxTurn, step.Demand, n)
+		}
+		for ; len(q.tasks) > n; q.tasks = q.tasks[n:] {
+			part := q
+			part.tasks, part.isPart = q.tasks[:n], true
+			out = append(out, part)
+		}
+		out = append(out, q)
+	}
+	return out
 }
 
 // claimedResources returns what the step's active claims keep.
@@ -221,8 +246,20 @@
 	delete(q.job.claims, q.step)
 	p.waiting[q.job.Organisation] += len(q.tasks)
 	p.held[q.job.Organisation] += len(q.tasks)
+	t.reserveInCap(q, p)
+}
+
+// waitsForReservation reports whether the step fits into its organisation's cap, but not beside what a
+// gang has reserved there. Nothing needs to be stopped for it.
+func (t *term) waitsForReservation(q readyStep) bool {
+	return t.quota.Room(q.job.Organisation, q.job.StepAt(q.step).Demand, len(q.tasks)) >= q.minTasks()
+}
+
+// reserveInCap keeps room in the cap for a gang that does not fit into it yet. The first gang of an
+// organisation gets it.
+func (t *term) reserveInCap(q readyStep, p *planningPass) {
 	step, organisation := q.job.StepAt(q.step), q.job.Organisation
-	if !step.Gang || !t.quota.CanEverHold(organisation, step.Demand, len(q.tasks)) {
+	if !step.Gang || t.quota.HasReservation(organisation) || !t.quota.CanEverHold(organisation, step.Demand, len(q.tasks)) {
 		return
 	}
 	if in, ok := t.timeUntilRoom(q, p); ok {
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -51,6 +51,8 @@
 	// accelerators than it is guaranteed.
 	guaranteed bool
 	urgency    urgency.Work
+	// isPart reports whether further tasks of the step follow as another element of the queue.
+	isPart bool
 }
 
 // planQueue places the waiting tasks on workers. It does nothing while an append is in
@@ -73,10 +75,10 @@
 	rests := t.rests(now)
 	snapshots := t.snapshots(now)
 	t.beginCapPass(snapshots, now)
-	t.orderQueue(queue)
+	queue = t.orderQueue(queue)
 	p := &planningPass{now: now, slowWorkers: t.slowWorkers(now), rests: rests, underusedSince: map[*plan.Snapshot]time.Duration{},
 		overGuarantee: over, victimPools: map[victimClass]*victimPool{},
-		waiting: map[string]int{}, held: map[string]int{}}
+		waiting: map[string]int{}, held: map[string]int{}, full: map[jobStep]bool{}}
 	t.updateSuspects(p)
 	for service, s := range snapshots {
 		t.noteUse(service, s, p)
@@ -221,6 +223,8 @@
 	// waiting counts the tasks that were not placed, and held those of them that wait for their
 	// organisation's cap, by organisation.
 	waiting, held map[string]int
+	// full holds the steps of which a part could not be placed.
+	full map[jobStep]bool
 	// ownReleases is the result of releasesByOrganisation, once it is needed.
 	ownReleases map[string][]plan.Release
 }
@@ -240,12 +244,17 @@
 // advice, stops runs that must give way, or reserves resources.
 func (t *term) placeStep(s *plan.Snapshot, q readyStep, p *planningPass) {
 	now := p.now
+	if p.full[jobStep{q.job, q.step}] {
+		p.waiting[q.job.Organisation] += len(q.tasks)
+		return
+	}
 	step, request := q.job.StepAt(q.step), q.request()
 	waited := now - q.job.waitingSince[q.step]
 	s.ReleaseClaims(request, q.job.activeClaims(q.step, now))
 	t.quota.Unpromise(q.job.Organisation, q.claimedResources(now))
 	room := t.roomInCap(s, q, p)
 	if room == 0 && !q.mayPreempt() {
+		p.full[jobStep{q.job, q.step}] = true
 		t.hold(q, p)
 		return
 	}
@@ -276,12 +285,16 @@
 		}
 		q.job.consumeClaims(q.step, nodes)
 	}
+	if len(nodes) == len(q.tasks) && q.isPart {
+		return
+	}
 	if len(nodes) == len(q.tasks) {
 		delete(q.job.waitingSince, q.step)
 		delete(q.job.spreadableSince, q.step)
 		delete(q.job.claims, q.step)
 		return
 	}
+	p.full[jobStep{q.job, q.step}] = true
 	t.makeRoom(s, q, request, len(nodes), room, p)
 }
 
@@ -309,7 +322,7 @@
 	if unplaced.Tasks > inCap {
 		p.held[q.job.Organisation] += unplaced.Tasks - inCap
 	}
-	if inCap == 0 && !q.mayPreempt() {
+	if inCap == 0 && (!q.mayPreempt() || t.waitsForReservation(q)) {
 		return // the rest waits for the cap only
 	}
 	if q.job.NeedsAdvice {
@@ -323,6 +336,9 @@
 	if t.stopsFor(q, 0) && t.preempt(s, q, &unplaced, inCap, p) {
 		return
 	}
+	if inCap == 0 {
+		t.reserveInCap(q, p)
+	}
 	if step.Gang && inCap > 0 && p.reservations < maxReservations {
 		p.reservations++
 		s.Reserve(&unplaced)
