Don't avoid peers for a call that is too large to send

Cause: A call above maxMessageBytes is not sent, but was recorded as a refusal of the peer it was meant for. One large submission at a host that cannot serve it kept the calls of all other callers from three peers for half a second. Change: The error of a call that is too large changes nothing in the history of the peer. Measured: go test -run TestTooLargeCall ./internal/engine/relay: before, 0 of 1 peers left for other calls; after, 1. go test ./internal/engine/relay passes.

--- a/internal/engine/relay/http.go
+++ b/internal/engine/relay/http.go
@@ -62,7 +62,7 @@
 		return Reply{}, notExecuted(err.Error())
 	}
 	if len(body) > maxMessageBytes {
-		return Reply{}, notExecuted("the call is too large")
+		return Reply{}, trace.Wrap(ErrTooLarge)
 	}
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
--- a/internal/engine/relay/message.go
+++ b/internal/engine/relay/message.go
@@ -47,6 +47,8 @@
 	ErrNotExecuted = &trace.LimitExceededError{Message: "the peer did not execute the call"}
 	// ErrUnreachable means that there was no connection to the peer.
 	ErrUnreachable = &trace.ConnectionProblemError{Message: "the peer cannot be reached"}
+	// ErrTooLarge means that this host did not send the call. It says nothing about the peer.
+	ErrTooLarge = &trace.LimitExceededError{Message: "the call is too large for a peer"}
 )
 
 // Transport sends calls to peers.
--- a/internal/engine/relay/relay_test.go
+++ b/internal/engine/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
@@ -261,3 +262,20 @@
 		t.Errorf("got %+v, context: %v", got, ctx.Err())
 	}
 }
+
+// TestTooLargeCall guards against a call that is not sent for its size and yet keeps the calls of
+// others from all peers for half a second.
+func TestTooLargeCall(t *testing.T) {
+	sender, _ := newTestService(t, "sender")
+	sender.Directory.Reset([]store.Record{Peer{Host: "peer", Address: "127.0.0.1:1", Zone: "a", WrittenMS: time.Now().UnixMilli()}.record()})
+	r := intake.Request{Operation: intake.Submission, Job: &work.Job{Spec: strings.Repeat("s", maxMessageBytes)}}
+	if got := sender.Relay(t.Context(), r); got.Answered || got.MayHaveRun {
+		t.Errorf("got %+v", got)
+	}
+	if n := len(sender.peers()); n != 1 {
+		t.Errorf("%d peers are left for other calls", n)
+	}
+	if errors.Is(notExecuted("reason"), ErrTooLarge) || errors.Is(trace.Wrap(ErrTooLarge), ErrNotExecuted) {
+		t.Error("a refusal of the peer and a call that was not sent are not told apart")
+	}
+}
--- a/internal/engine/relay/service.go
+++ b/internal/engine/relay/service.go
@@ -142,6 +142,7 @@
 		err = errInvalidReply
 	}
 	switch {
+	case errors.Is(err, ErrTooLarge):
 	case errors.Is(err, ErrNotExecuted):
 		s.learn(p, (*history).refused)
 	case err != nil:
