Pause relaying after three refusals of one call

Cause: A peer that refused was left alone for 0.5 s, but the next call went to three others. With the store down for all, a host asked each of its peers twice a second: 292 calls a second with 146 peers, a third of them into other zones, and as many came in. Change: If maxAttempts peers refuse one call, no peer is asked for refusalBackoff. Measured: go test -run TestStoreDownForManyHosts ./internal/engine/relay: before, 146 calls to 146 peers for 100 submissions, and 292 half a second later; after, 3 and 6. go test -race ./internal/engine/relay and the relaying tests of ./internal/engine pass. Conclusion: An outage for all costs the same at any number of hosts. If few hosts can serve, three refusals by chance cost half a second of relaying.

--- a/internal/engine/relay/relay_test.go
+++ b/internal/engine/relay/relay_test.go
@@ -279,3 +279,50 @@
 		t.Error("a refusal of the peer and a call that was not sent are not told apart")
 	}
 }
+
+// fakeTransport counts the calls and fails them all.
+type fakeTransport struct {
+	err   error
+	calls int
+}
+
+func (f *fakeTransport) Send(context.Context, string, Request) (Reply, error) {
+	f.calls++
+	return Reply{}, f.err
+}
+
+// TestStoreDownForManyHosts guards against a host that asks all others in turn, two times a second
+// each, while the store is down for all, and against one call that keeps others from being relayed.
+func TestStoreDownForManyHosts(t *testing.T) {
+	for name, c := range map[string]struct {
+		err   error
+		calls int // to peers
+	}{
+		"refused": {notExecuted("the store fails this host, too"), maxAttempts}, "too large": {ErrTooLarge, 100 * maxAttempts},
+	} {
+		sender, _ := newTestService(t, "sender")
+		now := time.Hour
+		sender.Now = func() time.Duration { return now }
+		f := &fakeTransport{err: c.err}
+		sender.Transport = f
+		var records []store.Record
+		for i := range 146 {
+			records = append(records, Peer{Host: fmt.Sprint(i), Address: "10.0.0.2:7000", Zone: "a", WrittenMS: time.Now().UnixMilli()}.record())
+		}
+		sender.Directory.Reset(records)
+		relay := func() {
+			for range 100 {
+				if got := sender.Relay(t.Context(), intake.Request{Operation: intake.Submission}); got.Answered || got.MayHaveRun {
+					t.Fatalf("%s: got %+v", name, got)
+				}
+			}
+		}
+		if relay(); f.calls != c.calls {
+			t.Errorf("%s: %d calls to 146 peers for 100 submissions", name, f.calls)
+		}
+		now += refusalBackoff
+		if relay(); f.calls != 2*c.calls {
+			t.Errorf("%s: %d calls half a second later", name, f.calls)
+		}
+	}
+}
--- a/internal/engine/relay/service.go
+++ b/internal/engine/relay/service.go
@@ -69,6 +69,8 @@
 
 	mu   sync.Mutex
 	seen map[string]history // by host
+	// pausedUntil is until when no call is relayed, by the boot-time clock.
+	pausedUntil time.Duration
 }
 
 // New returns a service. SetIntake must be called before Execute.
@@ -110,16 +112,22 @@
 	defer cancel()
 	start := time.Now()
 	var relayed intake.Relayed
-	peers := s.peers()
+	peers, refusals := s.peers(), 0
 	for _, p := range peers {
 		timeout := s.attemptTimeout(ctx)
 		if timeout < minTimeout {
 			break
 		}
-		if s.ask(ctx, p, r, timeout, &relayed); relayed.Answered {
+		if s.ask(ctx, p, r, timeout, &relayed) {
+			refusals++
+		}
+		if relayed.Answered {
 			break
 		}
 	}
+	if refusals == maxAttempts {
+		s.pause()
+	}
 	s.report(r, len(peers), relayed, time.Since(start))
 	return relayed
 }
@@ -133,8 +141,9 @@
 	return min(attemptTimeout, time.Until(deadline))
 }
 
-// ask sends a call to a peer and adds what became of it to relayed.
-func (s *Service) ask(ctx context.Context, p Peer, r intake.Request, timeout time.Duration, relayed *intake.Relayed) {
+// ask sends a call to a peer, adds what became of it to relayed, and reports whether the peer
+// refused it.
+func (s *Service) ask(ctx context.Context, p Peer, r intake.Request, timeout time.Duration, relayed *intake.Relayed) (refused bool) {
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := s.Transport.Send(attemptCtx, p.Address, newRequest(p, r, timeout-transferMargin))
@@ -145,6 +154,7 @@
 	case errors.Is(err, ErrTooLarge):
 	case errors.Is(err, ErrNotExecuted):
 		s.learn(p, (*history).refused)
+		return true
 	case err != nil:
 		relayed.MayHaveRun = relayed.MayHaveRun || !errors.Is(err, ErrUnreachable)
 		if ctx.Err() == nil { // otherwise the answer is no longer needed
@@ -152,6 +162,7 @@
 		}
 	case reply.Outcome == intake.TryLater:
 		s.learn(p, (*history).refused)
+		return true
 	case reply.Outcome == intake.Unknown:
 		relayed.MayHaveRun = true
 		s.learn(p, (*history).refused)
@@ -159,6 +170,16 @@
 		relayed.Answered, relayed.Answer, relayed.Manifest = true, reply.answer(), reply.Manifest
 		s.learn(p, (*history).answered)
 	}
+	return false
+}
+
+// pause keeps calls from being relayed for refusalBackoff. If all peers that were asked refuse, the
+// store is probably down for all: without a pause, a host would ask each of hundreds of peers in
+// turn, and as many would ask it.
+func (s *Service) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pausedUntil = s.Now() + refusalBackoff
 }
 
 // peers returns the peers to ask, in this order.
@@ -166,6 +187,9 @@
 	others := s.Directory.Others(s.WallClock().UnixMilli())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.Now() < s.pausedUntil {
+		return nil
+	}
 	if len(s.seen) > 2*maxPeers {
 		clear(s.seen) // hosts that came and went
 	}
