Close idle connections to peers before the peers do

Cause: A host kept idle connections to peers for 20 s, and the peer's server closes them after 15 s. A submission or cancellation that is sent just then fails without an answer; net/http does not repeat a POST, so the peer counts as silent and the outcome as unknown. Change: Idle connections are kept for 10 s. Measured: go test -run TestIdleConnectionsToPeers ./internal/engine/host failed with 20 s and passes with 10 s; go test -race ./internal/engine/relay passes. Conclusion: The race is closed.

--- a/internal/engine/relay/http.go
+++ b/internal/engine/relay/http.go
@@ -27,8 +27,10 @@
 	// gone does not answer.
 	dialTimeout = 250 * time.Millisecond
 	// connsPerPeer bounds the connections to a peer.
-	connsPerPeer    = 8
-	idleConnTimeout = 20 * time.Second
+	connsPerPeer = 8
+	// IdleConnTimeout is shorter than the time after which a peer closes an idle connection: a
+	// call that is sent just then has an unknown outcome.
+	IdleConnTimeout = 10 * time.Second
 	connBufferBytes = 4 << 10
 	// stepBytes is the memory of a step with its lists.
 	stepBytes = 512
@@ -50,7 +52,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &HTTPTransport{&http.Transport{
 		DialContext: dialer.DialContext, MaxConnsPerHost: connsPerPeer, MaxIdleConnsPerHost: connsPerPeer,
-		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		IdleConnTimeout: IdleConnTimeout, DisableCompression: true,
 		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
 	}}
 }
