Keep room that is being freed claimed for a job that became late

Cause: A planning pass renewed a step's claim on the room of a stop only while another stop would still let it end in time. Gain adds the time of a stop at each pass, so a job with little slack lost its claim half a second after its stop was sent, a later urgent job counted the same room as coming, and its claim kept the first job out. Change: A step with an active claim keeps it, whatever a new stop would gain. Conclusion: Room that is stopped for a job is used by it.

--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -333,7 +333,9 @@
 		sharing.Tasks = inCap
 		t.stopBestEffortRuns(s, &sharing)
 	}
-	if t.stopsFor(q, 0) && t.preempt(s, q, &unplaced, inCap, p) {
+	// Room that is being freed for the step stays claimed if it can no longer be in time.
+	claimed := q.job.activeClaims(q.step, p.now) != nil
+	if (claimed || t.stopsFor(q, 0)) && t.preempt(s, q, &unplaced, inCap, p) {
 		return
 	}
 	if inCap == 0 {
--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -202,3 +202,37 @@
 		})
 	}
 }
+
+// TestRoomBeingFreedIsKeptForLateJob guards against an urgent job that loses the room that is being
+// freed for it to a later job, because by then it can no longer be in time with another stop.
+func TestRoomBeingFreedIsKeptForLateJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		for id := range 12 {
+			c.submit("batch", newJob(1+id, work.Step{Tasks: 1, Demand: largeTask, EstimateMS: 60_000}), standin.Behaviour{Work: time.Minute})
+		}
+		time.Sleep(2 * time.Second)
+		// With a stop, its work ends barely within the objective.
+		step := gangOf(2, largeTask, 1400)
+		var urgent []work.Job
+		for id := range 3 {
+			j := newJob(20+id, step)
+			j.AcceptedMS = time.Now().UnixMilli()
+			c.submitWithKey("guest-key", "urgent", j, standin.Behaviour{Work: 1400 * time.Millisecond})
+			urgent = append(urgent, j)
+			time.Sleep(200 * time.Millisecond)
+		}
+		for _, j := range urgent {
+			c.awaitStatus(j.ID, work.Completed, 10*time.Second)
+			took := c.completedAt(j).Sub(time.UnixMilli(j.AcceptedMS))
+			t.Logf("%s took %v", j.ID, took)
+			if took > objective("urgent", step) {
+				t.Errorf("job %s took %v, longer than its objective", j.ID, took)
+			}
+		}
+		if n := c.stoppedRuns(); n != 6 {
+			t.Errorf("%d runs were stopped, want 2 for each urgent job", n)
+		}
+	})
+}
