Report headroom only where it is kept

Cause: The metric and the log line of the headroom gave what would be kept, also for services of which less than half is in use, where nothing is kept, and the metric stayed at its last value when nothing waited any more. Change: The headroom of such services is none, and the metric is 0 without waiting work. Conclusion: Placement does not change; operators see what is kept.

--- a/internal/engine/scheduler/headroom.go
+++ b/internal/engine/scheduler/headroom.go
@@ -18,8 +18,9 @@
 type headroom map[*plan.Snapshot]int
 
 // headroom computes the headroom from the urgent jobs that were accepted lately, ended ones
-// included, and those beyond their organisation's rate left out. They are in the store, so that a new owner keeps the same headroom.
-func (t *term) headroom(snapshots map[string]*plan.Snapshot) headroom {
+// included, and those beyond their organisation's rate left out. They are in the store, so that a new
+// owner keeps the same headroom. Services of which little is in use have none.
+func (t *term) headroom(snapshots map[string]*plan.Snapshot, p *planningPass) headroom {
 	since := t.WallClock().Add(-urgency.ArrivalWindow).UnixMilli()
 	arrived := map[string]work.Resources{}
 	for _, j := range t.jobs {
@@ -32,7 +33,7 @@
 	}
 	out, total := headroom{}, 0
 	for service, r := range arrived {
-		if s := snapshots[service]; s != nil {
+		if s := snapshots[service]; s != nil && !p.isUnderused(s) {
 			out[s] = urgency.Headroom(s.FilledBy(r), len(s.Nodes), t.bounds.StopTimeout)
 			total += out[s]
 		}
@@ -50,10 +51,9 @@
 	}
 }
 
-// apply hides the headroom of the snapshot from a step that must not use it. While little of the
-// service is in use, nothing is hidden.
-func (h headroom) apply(s *plan.Snapshot, q readyStep, p *planningPass) {
-	if urgency.MayUseHeadroom(q.urgency) || p.isUnderused(s) {
+// apply hides the headroom of the snapshot from a step that must not use it.
+func (h headroom) apply(s *plan.Snapshot, q readyStep) {
+	if urgency.MayUseHeadroom(q.urgency) {
 		s.ReleaseEmpty()
 		return
 	}
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -68,6 +68,7 @@
 	queue := t.readySteps(now, over)
 	if len(queue) == 0 {
 		clear(t.underusedSince)
+		t.metrics.headroom.Update(0)
 		t.recordCaps(nil, nil, now)
 		return
 	}
@@ -89,13 +90,13 @@
 			t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		}
 	}
-	headroom := t.headroom(snapshots)
+	headroom := t.headroom(snapshots, p)
 	for _, q := range queue {
 		s := snapshots[q.job.Service]
 		if s == nil {
 			continue
 		}
-		headroom.apply(s, q, p)
+		headroom.apply(s, q)
 		t.placeStep(s, q, p)
 	}
 	t.recordCaps(p.waiting, p.held, now)
--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
@@ -236,3 +238,19 @@
 		}
 	})
 }
+
+// TestHeadroomIsReportedOnlyWhereKept guards against a metric, and the log line beside it, that names
+// workers that are kept free while nothing is kept: little of the service is in use.
+func TestHeadroomIsReportedOnlyWhereKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		j := newJob(1, gangOf(5, largeTask, 3000))
+		j.AcceptedMS = time.Now().UnixMilli()
+		c.submit("urgent", j, standin.Behaviour{Work: 3 * time.Second})
+		c.awaitStatus(j.ID, work.Completed, 10*time.Second)
+		if n := gometrics.GetOrRegisterGauge("scheduler.headroom_workers", c.owner().metrics).Value(); n != 0 {
+			t.Errorf("%d workers are reported as kept free, want none", n)
+		}
+	})
+}
--- a/internal/engine/urgency/headroom.go
+++ b/internal/engine/urgency/headroom.go
@@ -27,8 +27,8 @@
 }
 
 // MayUseHeadroom reports whether waiting work may use the room that is kept for urgent work: urgent
-// work itself, unless it is beyond its organisation's rate, long-running work, for which other work would be stopped at once, and work that has
-// waited for maxWait.
+// work itself, unless it is beyond its organisation's rate, long-running work, for which other work
+// would be stopped at once, and work that has waited for maxWait.
 func MayUseHeadroom(w Work) bool {
 	return (w.Priority == 0 && (w.Guaranteed || w.WithinRate)) || w.LongRunning || w.WaitingMS >= maxWait.Milliseconds()
 }
