Keep no headroom while the platform counts under half of a service in use

Cause: Headroom was given up below half use of the workers that can get tasks. Workers that drain or do not answer are left out there, and runs that have not begun are counted, so that a job could be kept from the last empty workers while less than half of the service was at work. The platform expects its start within 3 s then; the headroom is given up after 30 s. Change: Nothing is kept either while less than half of all workers of the service is at work. TestCallersInShortage passes. Conclusion: Headroom does not delay a start that the platform expects. Whether it counts workers that drain as capacity is not said by its pages; the stricter reading is taken.

--- a/internal/engine/scheduler/headroom.go
+++ b/internal/engine/scheduler/headroom.go
@@ -33,7 +33,7 @@
 	}
 	out, total := headroom{}, 0
 	for service, r := range arrived {
-		if s := snapshots[service]; s != nil && !p.isUnderused(s) {
+		if s := snapshots[service]; s != nil && !p.isUnderused(s) && !t.isHalfIdle(service) {
 			out[s] = urgency.Headroom(s.FilledBy(r), len(s.Nodes), t.bounds.StopTimeout)
 			total += out[s]
 		}
@@ -43,6 +43,25 @@
 	return out
 }
 
+// isHalfIdle reports whether less than reservationMinUsedFraction of a service's workers is at work, as
+// the platform sees it: workers that drain or do not answer are part of the service, and runs that
+// have not begun use nothing. Its cost is linear in the number of workers and runs.
+func (t *term) isHalfIdle(service string) bool {
+	all := &plan.Node{}
+	for _, w := range t.workers {
+		if w.entry.Service != service || w.dead {
+			continue
+		}
+		all.Capacity, all.Free = all.Capacity.Plus(w.entry.Capacity), all.Free.Plus(w.entry.Capacity)
+		for _, r := range w.runs {
+			if r.phase == runStarted {
+				all.Free = all.Free.Minus(r.demand)
+			}
+		}
+	}
+	return (&plan.Snapshot{Nodes: []*plan.Node{all}}).UsedFraction() < reservationMinUsedFraction
+}
+
 // logHeadroom logs the headroom of all services if it has not been logged lately.
 func (t *term) logHeadroom(workers int) {
 	if now := t.Now(); workers > 0 && now-t.headroomLoggedAt >= headroomLogInterval {
--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -254,3 +254,30 @@
 		}
 	})
 }
+
+// TestNoHeadroomWhileHalfIsIdle guards against a job that is kept waiting by headroom although less
+// than half of the service is at work: the platform expects its start within 3 s. Workers that drain
+// are part of the service, and the others are in use by more than half.
+func TestNoHeadroomWhileHalfIsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		for _, w := range c.workers[:5] {
+			w.Drain(time.Minute)
+		}
+		time.Sleep(2 * time.Second)
+		long := newJob(1, work.Step{Tasks: 5, Demand: largeTask, EstimateMS: 30_000})
+		c.submit("batch", long, standin.Behaviour{Work: 30 * time.Second})
+		time.Sleep(time.Second)
+		for id := range 4 {
+			urgent := newJob(10+id, gangOf(2, largeTask, 300))
+			urgent.AcceptedMS = time.Now().UnixMilli()
+			c.submit("urgent", urgent, standin.Behaviour{Work: 300 * time.Millisecond})
+			c.awaitStatus(urgent.ID, work.Completed, 5*time.Second)
+		}
+		batch := newJob(20, work.Step{Tasks: 1, Demand: largeTask, EstimateMS: 300})
+		c.submit("batch", batch, standin.Behaviour{Work: 300 * time.Millisecond})
+		c.awaitStatus(batch.ID, work.Completed, 3*time.Second)
+		c.awaitStatus(long.ID, work.Completed, time.Minute)
+	})
+}
