--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -68,6 +68,7 @@
 	queue := t.readySteps(now, over)
 	if len(queue) == 0 {
 		clear(t.underusedSince)
+		t.metrics.headroom.Update(0)
 		t.recordCaps(nil, nil, now)
 		return
 	}
@@ -89,13 +90,13 @@
 			t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 		}
 	}
-	headroom := t.headroom(snapshots)
+	headroom := t.headroom(snapshots, p)
 	for _, q := range queue {
 		s := snapshots[q.job.Service]
 		if s == nil {
 			continue
 		}
-		headroom.apply(s, q, p)
+		headroom.apply(s, q)
 		t.placeStep(s, q, p)
 	}
 	t.recordCaps(p.waiting, p.held, now)
@@ -333,7 +334,9 @@
 		sharing.Tasks = inCap
 		t.stopBestEffortRuns(s, &sharing)
 	}
-	if t.stopsFor(q, 0) && t.preempt(s, q, &unplaced, inCap, p) {
+	// Room that is being freed for the step stays claimed if it can no longer be in time.
+	claimed := q.job.activeClaims(q.step, p.now) != nil
+	if (claimed || t.stopsFor(q, 0)) && t.preempt(s, q, &unplaced, inCap, p) {
 		return
 	}
 	if inCap == 0 {
--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
@@ -202,3 +204,80 @@
 		})
 	}
 }
+
+// TestRoomBeingFreedIsKeptForLateJob guards against an urgent job that loses the room that is being
+// freed for it to a later job, because by then it can no longer be in time with another stop.
+func TestRoomBeingFreedIsKeptForLateJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		for id := range 12 {
+			c.submit("batch", newJob(1+id, work.Step{Tasks: 1, Demand: largeTask, EstimateMS: 60_000}), standin.Behaviour{Work: time.Minute})
+		}
+		time.Sleep(2 * time.Second)
+		// With a stop, its work ends barely within the objective.
+		step := gangOf(2, largeTask, 1400)
+		var urgent []work.Job
+		for id := range 3 {
+			j := newJob(20+id, step)
+			j.AcceptedMS = time.Now().UnixMilli()
+			c.submitWithKey("guest-key", "urgent", j, standin.Behaviour{Work: 1400 * time.Millisecond})
+			urgent = append(urgent, j)
+			time.Sleep(200 * time.Millisecond)
+		}
+		for _, j := range urgent {
+			c.awaitStatus(j.ID, work.Completed, 10*time.Second)
+			took := c.completedAt(j).Sub(time.UnixMilli(j.AcceptedMS))
+			t.Logf("%s took %v", j.ID, took)
+			if took > objective("urgent", step) {
+				t.Errorf("job %s took %v, longer than its objective", j.ID, took)
+			}
+		}
+		if n := c.stoppedRuns(); n != 6 {
+			t.Errorf("%d runs were stopped, want 2 for each urgent job", n)
+		}
+	})
+}
+
+// TestHeadroomIsReportedOnlyWhereKept guards against a metric, and the log line beside it, that names
+// workers that are kept free while nothing is kept: little of the service is in use.
+func TestHeadroomIsReportedOnlyWhereKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		j := newJob(1, gangOf(5, largeTask, 3000))
+		j.AcceptedMS = time.Now().UnixMilli()
+		c.submit("urgent", j, standin.Behaviour{Work: 3 * time.Second})
+		c.awaitStatus(j.ID, work.Completed, 10*time.Second)
+		if n := gometrics.GetOrRegisterGauge("scheduler.headroom_workers", c.owner().metrics).Value(); n != 0 {
+			t.Errorf("%d workers are reported as kept free, want none", n)
+		}
+	})
+}
+
+// TestNoHeadroomWhileHalfIsIdle guards against a job that is kept waiting by headroom although less
+// than half of the service is at work: the platform expects its start within 3 s. Workers that drain
+// are part of the service, and the others are in use by more than half.
+func TestNoHeadroomWhileHalfIsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 12})
+		defer c.close()
+		for _, w := range c.workers[:5] {
+			w.Drain(time.Minute)
+		}
+		time.Sleep(2 * time.Second)
+		long := newJob(1, work.Step{Tasks: 5, Demand: largeTask, EstimateMS: 30_000})
+		c.submit("batch", long, standin.Behaviour{Work: 30 * time.Second})
+		time.Sleep(time.Second)
+		for id := range 4 {
+			urgent := newJob(10+id, gangOf(2, largeTask, 300))
+			urgent.AcceptedMS = time.Now().UnixMilli()
+			c.submit("urgent", urgent, standin.Behaviour{Work: 300 * time.Millisecond})
+			c.awaitStatus(urgent.ID, work.Completed, 5*time.Second)
+		}
+		batch := newJob(20, work.Step{Tasks: 1, Demand: largeTask, EstimateMS: 300})
+		c.submit("batch", batch, standin.Behaviour{Work: 300 * time.Millisecond})
+		c.awaitStatus(batch.ID, work.Completed, 3*time.Second)
+		c.awaitStatus(long.ID, work.Completed, time.Minute)
+	})
+}
