Keep requests that become complete while their connection gives way

Cause: a connection over the bound was marked to give way while the rest of its request was already there. net/http then watches the connection with a read that ends at once, which cancels the request's context and closes the connection after a response that did not announce it. The stage was also not looked at again between the choice and the eviction. Change: the watch of a complete request ends the eviction; a connection whose stage has changed since the choice is not evicted. Conclusion: a request that was received whole is executed and answered while connections give way.

--- a/internal/engine/drain/conn.go
+++ b/internal/engine/drain/conn.go
@@ -25,6 +25,9 @@
 	responseTimeout = 5 * time.Second
 	// readAheadBytes is the size of the buffer for the check for further requests.
 	readAheadBytes = 512
+	// watchBytes is the size of the reads by which http.Server notices, while a complete
+	// request is executed, that the client has left. It reads more at once otherwise.
+	watchBytes = 1
 )
 
 // past is a deadline that makes a blocked read return.
@@ -59,13 +62,31 @@
 		return n, nil
 	}
 	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	for errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readAvailable(p, err, !c.isBusy())
+		if !errors.Is(err, os.ErrDeadlineExceeded) || len(p) != watchBytes || !c.keep() {
+			break
+		}
+		n, err = c.TCPConn.Read(p)
 	}
 	c.recordRead(n, err)
 	return n, err
 }
 
+// keep ends an eviction, because the request turned out to be complete, and reports whether
+// there was one. A failed watch would cancel the request.
+func (c *conn) keep() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.evicted {
+		return false
+	}
+	c.evicted = false
+	c.noWait = c.server.phase.Load() >= phaseClosing
+	c.applyReadDeadlineLocked()
+	return !c.noWait
+}
+
 func (c *conn) takePending(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/engine/drain/limits.go
+++ b/internal/engine/drain/limits.go
@@ -116,8 +116,7 @@
 		return cmp.Or(cmp.Compare(x.stage, y.stage), x.since.Compare(y.since))
 	})
 	for _, x := range candidates[:min(n, len(candidates))] {
-		x.conn.evict()
-		if s.limits.Evicted != nil {
+		if x.conn.evict(x.since) && s.limits.Evicted != nil {
 			s.limits.Evicted()
 		}
 	}
@@ -129,11 +128,15 @@
 	return candidate{c, c.stage, c.since}, !c.closed && !c.evicted && c.stage < executing
 }
 
-// evict makes reads fail once no data is left. An idle connection on which a request arrives
-// nevertheless stays open.
-func (c *conn) evict() {
+// evict makes reads fail once no data is left, and reports whether it did: not if the stage that
+// began at the given time is over. A connection whose request arrives nevertheless stays open.
+func (c *conn) evict(since time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed || c.stage >= executing || !c.since.Equal(since) {
+		return false
+	}
 	c.evicted, c.noWait = true, true
 	c.applyReadDeadlineLocked()
+	return true
 }
--- a/internal/engine/drain/limits_test.go
+++ b/internal/engine/drain/limits_test.go
@@ -126,3 +126,27 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestCompleteRequestIsNotCancelled guards against requests that are cancelled because they
+// became complete while their connection was chosen to give way.
+func TestCompleteRequestIsNotCancelled(t *testing.T) {
+	for name, request := range map[string]string{"body": post("a body"), "header": get} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedServer(t, Limits{}, func(rw http.ResponseWriter, r *http.Request) {
+				c := r.Context().Value(connKey{}).(*conn)
+				c.evict(c.since)
+				respond(rw, r)
+				select {
+				case <-r.Context().Done():
+					t.Error("the request was cancelled")
+				case <-time.After(minEvictionAge):
+				}
+			})
+			c := s.dial()
+			for range 2 { // the connection stays usable
+				c.send(request)
+				c.expect(http.StatusOK, false)
+			}
+		})
+	}
+}
