Leave places for calls of others while bodies of one organisation stall

Cause: each unfinished body takes a place for a call, and a small one takes little of the budget. At a host of 144 MB, 576 connections of one organisation whose bodies stop held all places for 3 s each, with 2.3 MB of 18: all other calls, also status calls and cancellations, got 503 for as long as the connections were renewed. A body that became complete in the moment in which it was given up was executed with a cancelled context. A body that was given up is refused, before it is decoded. Conclusion: one organisation cannot take all places for calls.

--- a/internal/engine/guard/body.go
+++ b/internal/engine/guard/body.go
@@ -11,7 +11,7 @@
 var (
 	ErrTooLarge   = errors.New("the body is too large")
 	ErrIncomplete = errors.New("the body is not complete")
-	ErrOverloaded = errors.New("the host has no memory left for the body")
+	ErrOverloaded = errors.New("the host has no room left for the body")
 )
 
 const (
@@ -167,8 +167,10 @@
 
 // finish changes the reservation to what the execution of the request takes.
 func (b *bodyReader) finish() error {
+	if !b.reservation.finish() {
+		return ErrIncomplete
+	}
 	_ = b.controller.SetReadDeadline(time.Time{}) // an error means that the connection is closed
-	b.reservation.finish()
 	if b.reservation.hold(executingFactor*int64(len(b.data))) != nil {
 		return ErrOverloaded
 	}
--- a/internal/engine/guard/budget.go
+++ b/internal/engine/guard/budget.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,21 +30,26 @@
 
 // budget is the memory for request bodies and what they become. It answers the load of many
 // bodies at once: an organisation holds at most half of it, large bodies at most three quarters
-// of that, and when it becomes short, the bodies that have made no progress for longest are
+// of that, its unfinished bodies take at most half of the places for calls, and when it becomes short, the bodies that have made no progress for longest are
 // given up first.
 type budget struct {
-	limit int64
-	now   func() time.Time
+	limit     int64
+	maxBodies int64 // unfinished bodies of an organisation
+	now       func() time.Time
 
 	mu          sync.Mutex
 	used        int64
 	byOwner     map[string]int64
+	bodies      map[string]int64 // unfinished ones by organisation
 	unfinished  map[*reservation]struct{}
 	lastEvicted time.Time
 }
 
 func newBudget(limit int64, now func() time.Time) *budget {
-	return &budget{limit: limit, now: now, byOwner: map[string]int64{}, unfinished: map[*reservation]struct{}{}}
+	return &budget{
+		limit: limit, maxBodies: math.MaxInt64, now: now,
+		byOwner: map[string]int64{}, bodies: map[string]int64{}, unfinished: map[*reservation]struct{}{},
+	}
 }
 
 // reservation is what one request holds.
@@ -69,6 +75,7 @@
 	defer b.mu.Unlock()
 	r := &reservation{budget: b, owner: owner, abort: abort, progress: b.now()}
 	b.unfinished[r] = struct{}{}
+	b.bodies[owner]++
 	return r
 }
 
@@ -78,7 +85,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	extra := bytes - r.held
-	if extra > 0 && !b.hasRoom(r.owner, bytes, extra) {
+	if r.held == 0 && b.hasTooManyBodies(r.owner) || extra > 0 && !b.hasRoom(r.owner, bytes, extra) {
 		b.evictStalled(r.owner)
 		return errNoRoom
 	}
@@ -100,11 +107,29 @@
 	return !r.evicted
 }
 
-// finish notes that the body has been received whole: from now on it is not given up.
-func (r *reservation) finish() {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	delete(r.budget.unfinished, r)
+// finish notes that the body has been received whole, and reports whether it was not given up
+// before; from now on it is not.
+func (r *reservation) finish() bool {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.unfinished[r]; ok {
+		delete(b.unfinished, r)
+		if b.bodies[r.owner]--; b.bodies[r.owner] == 0 {
+			delete(b.bodies, r.owner)
+		}
+	}
+	return !r.evicted
+}
+
+// hasTooManyBodies reports whether the organisation has more unfinished bodies than it may.
+func (b *budget) hasTooManyBodies(owner string) bool { return b.bodies[owner] > b.maxBodies }
+
+// giveUpStalled gives up stalled bodies of all organisations, because their calls need place.
+func (b *budget) giveUpStalled() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evictStalled("")
 }
 
 // release returns all that the reservation holds.
@@ -145,7 +170,7 @@
 		return
 	}
 	b.lastEvicted = now
-	ownShare := b.byOwner[owner] > b.limit/maxOwnerShare/2 && b.used < b.limit/2+b.limit/4
+	ownShare := b.hasTooManyBodies(owner) || b.byOwner[owner] > b.limit/maxOwnerShare/2 && b.used < b.limit/2+b.limit/4
 	var stalled []*reservation
 	for r := range b.unfinished {
 		if !r.evicted && now.Sub(r.progress) >= minStall && (r.owner == owner || !ownShare) {
--- a/internal/engine/guard/budget_test.go
+++ b/internal/engine/guard/budget_test.go
@@ -98,6 +98,53 @@
 	}
 }
 
+// TestStalledBodiesLeavePlaces guards against small bodies of one organisation that stall and take
+// all places for calls, long before they take its share of the memory.
+func TestStalledBodiesLeavePlaces(t *testing.T) {
+	b := newTestBudget(t)
+	b.maxBodies = 4
+	first, firstAborted := b.body("a", 1)
+	for range 3 {
+		b.body("a", 1)
+	}
+	if r := b.open("a", func() {}); r.hold(1) == nil {
+		t.Error("an organisation has more unfinished bodies than its share")
+	} else {
+		r.release()
+	}
+	b.body("b", 1)
+	if first.hold(2) != nil {
+		t.Error("a body that has a place may not grow")
+	}
+	b.clock = b.clock.Add(minStall)
+	b.open("a", func() {}).release()
+	refused := b.open("a", func() {})
+	if refused.hold(1) == nil || !*firstAborted {
+		t.Error("the bodies that stall were not given up")
+	}
+	refused.release()
+	first.release()
+	if _, aborted := b.body("a", 1); *aborted {
+		t.Error("a place that was returned is not given again")
+	}
+}
+
+// TestGivenUpBodyIsRefused guards against a body that is complete in the moment in which it is given
+// up, and is then executed although its connection has been interrupted.
+func TestGivenUpBodyIsRefused(t *testing.T) {
+	b := newTestBudget(t)
+	late, aborted := b.body("a", 1)
+	whole, _ := b.body("a", 1)
+	if !whole.finish() {
+		t.Error("a complete body was refused")
+	}
+	b.clock = b.clock.Add(minStall)
+	b.giveUpStalled()
+	if !*aborted || late.finish() {
+		t.Error("a body that was given up is executed")
+	}
+}
+
 // TestReleaseReturnsMemory guards against a budget that leaks.
 func TestReleaseReturnsMemory(t *testing.T) {
 	b := newTestBudget(t)
--- a/internal/engine/guard/guard.go
+++ b/internal/engine/guard/guard.go
@@ -96,6 +96,7 @@
 	}
 	g.memory = newMemoryGauge(memory)
 	g.budget = newBudget(memory/bodyMemoryDivisor, time.Now)
+	g.budget.maxBodies = g.maxCalls / maxOwnerShare
 	metrics.RegisterGauge(o.Metrics, "guard.body_bytes", g.budget.inUse)
 	metrics.RegisterGauge(o.Metrics, "guard.calls", g.calls.Load)
 	return g
@@ -133,6 +134,7 @@
 		return true
 	}
 	g.calls.Add(-1)
+	g.budget.giveUpStalled()
 	g.Refuse(Calls)
 	return false
 }
--- a/internal/engine/guard/guard_test.go
+++ b/internal/engine/guard/guard_test.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// TestBodiesLeavePlacesForCalls guards against one organisation whose unfinished bodies keep the
+// calls of others out.
+func TestBodiesLeavePlacesForCalls(t *testing.T) {
+	g := newTestGuard(1, 0, 0)
+	for range minCalls {
+		if !g.Begin() {
+			t.Fatal("a call got no place")
+		}
+		if r := g.budget.open("a", func() {}); r.hold(1) != nil {
+			r.release()
+			g.End()
+		}
+	}
+	if !g.Begin() {
+		t.Error("no place is left")
+	}
+}
+
 // TestRefusalsAreLoggedOnceASecond guards against a log that grows with an attack.
 func TestRefusalsAreLoggedOnceASecond(t *testing.T) {
 	core, lines := observer.New(zapcore.InfoLevel)
