Count connections that are about to close before closing others

Cause: over the bound, a share of the connections is told to close. A host that is too slow to close the first of them at once accepted one connection for each that was closed, was full again and told a further share each time: idle connections of ordinary clients were closed for no need. Change: connections that are already about to be closed without a response count. Conclusion: as many connections give way as have to.

--- a/internal/engine/drain/limits.go
+++ b/internal/engine/drain/limits.go
@@ -97,25 +97,31 @@
 
 // candidate is a connection that may be closed, as it was when it was looked at.
 type candidate struct {
-	conn  *conn
-	stage stage
-	since time.Time
+	conn    *conn
+	stage   stage
+	since   time.Time
+	closing bool // evicted, and closed without a response
 }
 
-// evict closes up to n connections whose stage is between first and last: those of earlier
-// stages first, and of one stage those that entered it first.
+// evict closes connections whose stage is between first and last until n are about to be closed:
+// those of earlier stages first, and of one stage those that entered it first.
 func (s *Server) evict(n int, first, last stage) {
 	latest := time.Now().Add(-minEvictionAge)
 	var candidates []candidate
 	for _, c := range s.openConns() {
-		if x, ok := c.asCandidate(); ok && x.stage >= first && x.stage <= last && x.since.Before(latest) {
+		x, ok := c.asCandidate()
+		switch {
+		case x.stage < first || x.stage > last:
+		case ok && x.since.Before(latest):
 			candidates = append(candidates, x)
+		case x.closing:
+			n--
 		}
 	}
 	slices.SortFunc(candidates, func(x, y candidate) int {
 		return cmp.Or(cmp.Compare(x.stage, y.stage), x.since.Compare(y.since))
 	})
-	for _, x := range candidates[:min(n, len(candidates))] {
+	for _, x := range candidates[:min(max(n, 0), len(candidates))] {
 		if x.conn.evict(x.since) && s.limits.Evicted != nil {
 			s.limits.Evicted()
 		}
@@ -125,7 +131,8 @@
 func (c *conn) asCandidate() (candidate, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return candidate{c, c.stage, c.since}, !c.closed && !c.evicted && c.stage < executing
+	closing := !c.closed && c.evicted && c.stage < receivingBody
+	return candidate{c, c.stage, c.since, closing}, !c.closed && !c.evicted && c.stage < executing
 }
 
 // evict makes reads fail once no data is left, and reports whether it did: not if the stage that
--- a/internal/engine/drain/limits_test.go
+++ b/internal/engine/drain/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -150,3 +151,31 @@
 		})
 	}
 }
+
+// TestEvictionsInProgressCount guards against closing many idle connections for a few new ones on
+// a host that is too slow to close the first of them at once.
+func TestEvictionsInProgressCount(t *testing.T) {
+	const conns, enough = 128, 128/evictionDivisor + 1
+	evicted := 0
+	limits := Limits{Conns: fixed(conns), Evicted: func() { evicted++ }}
+	s := NewServer(&http.Server{ReadHeaderTimeout: testTimeout}, limits, zap.NewNop())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	for range conns { // nothing reads from them, and so nothing closes them
+		tcp, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.add(tcp.(*net.TCPConn)).since = time.Now().Add(-time.Second)
+	}
+	defer s.closeConns()
+	for range 5 {
+		s.makePlace()
+	}
+	if evicted != enough {
+		t.Errorf("%d connections give way, want %d", evicted, enough)
+	}
+}
