Bound the lines of a request's header

Cause: a header of 16 KiB may consist of some thousand fields of a few bytes, and a parsed field takes some hundred. 600 connections without a key whose headers did not end took 183 MB at a host of 96 MB: the budget of headers in progress counts 32 KiB each. Lines of bodies do not count. Conclusion: headers in progress keep to what the budget counts for them.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -168,3 +168,16 @@
 	}
 	d.check()
 }
+
+// TestManyHeaderFields guards against unfinished headers of very short fields, which take a
+// multiple of their bytes once they are parsed.
+func TestManyHeaderFields(t *testing.T) {
+	var fields strings.Builder
+	for i := range 3000 {
+		fmt.Fprintf(&fields, "%03x:\n", i)
+	}
+	d := startDaemon(t, *bodyMaxFDs)
+	c := gather(d, *bodyCrowd)
+	c.send(func(i int) []byte { return header(i, fields.String()) })
+	d.check()
+}
--- a/internal/engine/drain/conn.go
+++ b/internal/engine/drain/conn.go
@@ -53,6 +53,7 @@
 	stage        stage
 	since        time.Time // of the stage
 	evicted      bool      // its place is needed
+	header       headerLines
 }
 
 // Read implements net.Conn. A read whose deadline has passed returns data that has arrived
@@ -69,7 +70,9 @@
 		}
 		n, err = c.TCPConn.Read(p)
 	}
-	c.recordRead(n, err)
+	if !c.recordRead(p[:n], err) {
+		return 0, errTooManyLines
+	}
 	return n, err
 }
 
@@ -130,16 +133,18 @@
 }
 
 // recordRead updates the state after a read. Data that arrives on a connection that is to
-// be closed as idle begins a request, whose rest is waited for.
-func (c *conn) recordRead(n int, err error) {
+// be closed as idle begins a request, whose rest is waited for. It reports whether the header
+// of the request keeps to its bound.
+func (c *conn) recordRead(data []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
+	if len(data) > 0 {
 		c.setBusyLocked()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.peerClosed = true
 	}
+	return c.stage != receiving || c.header.add(data)
 }
 
 func (c *conn) setBusyLocked() {
@@ -227,7 +232,7 @@
 func (c *conn) readAhead(buffered []byte) bool {
 	data := make([]byte, readAheadBytes)
 	n, err := c.readAvailable(data, os.ErrDeadlineExceeded, false)
-	c.recordRead(n, err)
+	_ = c.recordRead(data[:n], err) // the buffer is small
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = slices.Concat(buffered, c.pending, data[:n])
--- a/internal/engine/drain/limits.go
+++ b/internal/engine/drain/limits.go
@@ -51,6 +51,7 @@
 		c.server.receiving.Add(-1)
 	}
 	if s == receiving {
+		c.header = headerLines{}
 		c.server.receiving.Add(1)
 	}
 	c.stage, c.since = s, time.Now()
--- a/internal/engine/drain/limits_test.go
+++ b/internal/engine/drain/limits_test.go
@@ -179,3 +179,22 @@
 		t.Errorf("%d connections give way, want %d", evicted, enough)
 	}
 }
+
+// TestHeaderLinesAreBounded guards against headers of very short fields, and against counting the
+// lines of a body or of the requests before.
+func TestHeaderLinesAreBounded(t *testing.T) {
+	s := newLimitedServer(t, Limits{}, respond)
+	fields := func(n int) string { return get[:len(get)-2] + strings.Repeat("a:\n", n) }
+	c := s.dial()
+	c.send(post("a body"))
+	c.expect(http.StatusOK, false)
+	for range 3 {
+		c.send("\r\n" + fields(maxHeaderLines-2) + "\r\n")
+		c.expect(http.StatusOK, false)
+		c.send(post(strings.Repeat("\n\n{", 2*maxHeaderLines)))
+		c.expect(http.StatusOK, false)
+	}
+	c = s.dial()
+	c.send(fields(maxHeaderLines) + "\r\n" + post("a body"))
+	c.expect(http.StatusBadRequest, true)
+}
