--- a/internal/engine/drain/conn.go
+++ b/internal/engine/drain/conn.go
@@ -25,6 +25,9 @@
 	responseTimeout = 5 * time.Second
 	// readAheadBytes is the size of the buffer for the check for further requests.
 	readAheadBytes = 512
+	// watchBytes is the size of the reads by which http.Server notices, while a complete
+	// request is executed, that the client has left. It reads more at once otherwise.
+	watchBytes = 1
 )
 
 // past is a deadline that makes a blocked read return.
@@ -50,6 +53,7 @@
 	stage        stage
 	since        time.Time // of the stage
 	evicted      bool      // its place is needed
+	header       headerLines
 }
 
 // Read implements net.Conn. A read whose deadline has passed returns data that has arrived
@@ -59,13 +63,33 @@
 		return n, nil
 	}
 	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	for errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readAvailable(p, err, !c.isBusy())
+		if !errors.Is(err, os.ErrDeadlineExceeded) || len(p) != watchBytes || !c.keep() {
+			break
+		}
+		n, err = c.TCPConn.Read(p)
+	}
+	if !c.recordRead(p[:n], err) {
+		return 0, errTooManyLines
 	}
-	c.recordRead(n, err)
 	return n, err
 }
 
+// keep ends an eviction, because the request turned out to be complete, and reports whether
+// there was one. A failed watch would cancel the request.
+func (c *conn) keep() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.evicted {
+		return false
+	}
+	c.evicted = false
+	c.noWait = c.server.phase.Load() >= phaseClosing
+	c.applyReadDeadlineLocked()
+	return !c.noWait
+}
+
 func (c *conn) takePending(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -109,16 +133,18 @@
 }
 
 // recordRead updates the state after a read. Data that arrives on a connection that is to
-// be closed as idle begins a request, whose rest is waited for.
-func (c *conn) recordRead(n int, err error) {
+// be closed as idle begins a request, whose rest is waited for. It reports whether the header
+// of the request keeps to its bound.
+func (c *conn) recordRead(data []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
+	if len(data) > 0 {
 		c.setBusyLocked()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.peerClosed = true
 	}
+	return c.stage != receiving || c.header.add(data)
 }
 
 func (c *conn) setBusyLocked() {
@@ -206,7 +232,7 @@
 func (c *conn) readAhead(buffered []byte) bool {
 	data := make([]byte, readAheadBytes)
 	n, err := c.readAvailable(data, os.ErrDeadlineExceeded, false)
-	c.recordRead(n, err)
+	_ = c.recordRead(data[:n], err) // the buffer is small
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = slices.Concat(buffered, c.pending, data[:n])
--- a/internal/engine/drain/limits_test.go
+++ b/internal/engine/drain/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -126,3 +127,74 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestCompleteRequestIsNotCancelled guards against requests that are cancelled because they
+// became complete while their connection was chosen to give way.
+func TestCompleteRequestIsNotCancelled(t *testing.T) {
+	for name, request := range map[string]string{"body": post("a body"), "header": get} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedServer(t, Limits{}, func(rw http.ResponseWriter, r *http.Request) {
+				c := r.Context().Value(connKey{}).(*conn)
+				c.evict(c.since)
+				respond(rw, r)
+				select {
+				case <-r.Context().Done():
+					t.Error("the request was cancelled")
+				case <-time.After(minEvictionAge):
+				}
+			})
+			c := s.dial()
+			for range 2 { // the connection stays usable
+				c.send(request)
+				c.expect(http.StatusOK, false)
+			}
+		})
+	}
+}
+
+// TestEvictionsInProgressCount guards against closing many idle connections for a few new ones on
+// a host that is too slow to close the first of them at once.
+func TestEvictionsInProgressCount(t *testing.T) {
+	const conns, enough = 128, 128/evictionDivisor + 1
+	evicted := 0
+	limits := Limits{Conns: fixed(conns), Evicted: func() { evicted++ }}
+	s := NewServer(&http.Server{ReadHeaderTimeout: testTimeout}, limits, zap.NewNop())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	for range conns { // nothing reads from them, and so nothing closes them
+		tcp, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.add(tcp.(*net.TCPConn)).since = time.Now().Add(-time.Second)
+	}
+	defer s.closeConns()
+	for range 5 {
+		s.makePlace()
+	}
+	if evicted != enough {
+		t.Errorf("%d connections give way, want %d", evicted, enough)
+	}
+}
+
+// TestHeaderLinesAreBounded guards against headers of very short fields, and against counting the
+// lines of a body or of the requests before.
+func TestHeaderLinesAreBounded(t *testing.T) {
+	s := newLimitedServer(t, Limits{}, respond)
+	fields := func(n int) string { return get[:len(get)-2] + strings.Repeat("a:\n", n) }
+	c := s.dial()
+	c.send(post("a body"))
+	c.expect(http.StatusOK, false)
+	for range 3 {
+		c.send("\r\n" + fields(maxHeaderLines-2) + "\r\n")
+		c.expect(http.StatusOK, false)
+		c.send(post(strings.Repeat("\n\n{", 2*maxHeaderLines)))
+		c.expect(http.StatusOK, false)
+	}
+	c = s.dial()
+	c.send(fields(maxHeaderLines) + "\r\n" + post("a body"))
+	c.expect(http.StatusBadRequest, true)
+}
