--- a/review/_standin-2/counted_crash.go
+++ b/review/_standin-2/counted_crash.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"strings"
 	"sync"
 	"time"
 )
@@ -19,8 +18,7 @@
 	}
 	ends.Lock()
 	defer ends.Unlock()
-	job, _, _ := strings.Cut(task, ".")
-	ends.failed[job]++
+	ends.failed[jobOf(task)]++
 }
 
 // playCountedCrash runs a job of one task while one executor of eight crashes and comes back four
--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
 const (
 	frontPort, readyPort, lockPort = 8521, 8523, 8520
 	queueHost, queuePrefix         = "reports.example", "/bulletin/"
+	policyPrefix                   = "/policy/"
 	serviceName, apiKey            = "icereport", "key-of-the-station"
 	maxAttempts                    = 2
 )
@@ -86,6 +88,7 @@
 bounds.leaseMs=3000
 bounds.paceMs=100
 orders=call
+advice=%[8]s
 platform.address=%[6]s
 platform.form=log
 platform.writesPerS=800
@@ -111,10 +114,12 @@
 	store     *standin.Store
 	limits    *platformtest.RateLimits
 	machines  *machines
+	advisor   *advisor
 	executors []*executor
 	hosts     []*host
 	servers   []*http.Server
 	starts    starts
+	demands   sync.Map // of the tasks, by job: all steps of a case's jobs require the same
 }
 
 func newDeployment(daemon string, r *record) (*deployment, error) {
@@ -137,6 +142,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("no loopback subnet is free: %w", err)
 	}
+	if d.advisor, err = newAdvisor(d); err != nil {
+		return nil, err
+	}
 	d.machines, err = newMachines(d)
 	return d, err
 }
@@ -148,6 +156,10 @@
 		"routes": []map[string]any{{
 			"name": "bulletin", "host": queueHost, "pathPrefix": queuePrefix, "service": serviceName,
 			"priority": 1, "maxAttempts": maxAttempts, "stretch": 3.0, "sloMs": 1000,
+		}, {
+			"name": "policy", "host": queueHost, "pathPrefix": policyPrefix, "service": serviceName,
+			"priority": 1, "maxAttempts": maxAttempts, "stretch": 3.0, "sloMs": 1000,
+			"advice": map[string]any{"decideMs": decideTime.Milliseconds(), "eachMs": d.advisor.each.Milliseconds(), "validMs": validTime.Milliseconds()},
 		}},
 		"services": []map[string]any{{"name": serviceName, "rejectsOverload": false}},
 		"tenants":  []map[string]any{{"name": "station", "apiKeys": []string{apiKey}, "guaranteed": map[string]any{"gpu": 8}}},
@@ -176,7 +188,7 @@
 	}
 	d.serve(l, platformtest.NewStoreHandler(d.store, h.name, d.limits))
 	zone := []string{"nuwara", "horton"}[i%2]
-	text := fmt.Sprintf(settingsText, h.name, h.ip, zone, frontPort, readyPort, l.Addr(), d.machines.address)
+	text := fmt.Sprintf(settingsText, h.name, h.ip, zone, frontPort, readyPort, l.Addr(), d.machines.address, d.advisor.address)
 	h.settings = filepath.Join(d.dir, h.name+".conf")
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return err
@@ -313,14 +325,20 @@
 
 // submit hands a job in at any running host until it is accepted.
 func (d *deployment) submit(id string, job map[string]any) bool {
+	return d.submitTo(queuePrefix, id, job)
+}
+
+// submitTo is submit for a given queue.
+func (d *deployment) submitTo(prefix, id string, job map[string]any) bool {
+	d.noteDemand(prefix, id, job)
 	body := mustMarshal(job)
 	for attempt := range 20 {
 		h := d.hosts[attempt%len(d.hosts)]
 		if !h.running() {
 			continue
 		}
-		status, _ := h.call(http.MethodPost, queuePrefix+id, body)
-		d.record.note("client", "POST %s%s at %s: %d", queuePrefix, id, h.name, status)
+		status, _ := h.call(http.MethodPost, prefix+id, body)
+		d.record.note("client", "POST %s%s at %s: %d", prefix, id, h.name, status)
 		if status >= 200 && status < 300 {
 			return true
 		}
@@ -330,9 +348,24 @@
 	return false
 }
 
+// noteDemand notes what the tasks of a job require.
+func (d *deployment) noteDemand(prefix, id string, job map[string]any) {
+	step := job["steps"].([]map[string]any)[0]
+	number := func(name string) int { n, _ := step[name].(int); return n }
+	label, _ := step["requires"].(string)
+	d.demands.Store(id, demand{capacity{number("cpu"), number("memMb"), number("gpu")}, label, prefix})
+}
+
+// demandsByJob returns what the tasks of the jobs require.
+func (d *deployment) demandsByJob() map[string]demand {
+	all := map[string]demand{}
+	d.demands.Range(func(id, needed any) bool { all[id.(string)] = needed.(demand); return true })
+	return all
+}
+
 // state asks for a job's state at a host.
 func (h *host) state(id string) string {
-	status, body := h.call(http.MethodGet, queuePrefix+id, nil)
+	status, body := h.call(http.MethodGet, h.d.demandsByJob()[id].prefix+id, nil)
 	var answer struct {
 		State string `json:"state"`
 	}
--- a/review/_standin-2/executor.go
+++ b/review/_standin-2/executor.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,10 +17,12 @@
 	d       *deployment
 	address string
 	machine string
-	labels  []string
-	gpu     int
 
 	mu       sync.Mutex
+	labels   []string
+	capacity capacity
+	cut      bool      // cannot reach the platform's store
+	heldAt   time.Time // when the last hold arrived
 	id       string
 	up       bool
 	closed   bool
@@ -36,6 +39,24 @@
 	missed   int
 }
 
+// capacity is what an executor has, or what a task requires.
+type capacity struct{ cpu, memMB, gpu int }
+
+// wholeCapacity is the capacity of the site's executors.
+var wholeCapacity = capacity{128000, 524288, 8}
+
+func (c capacity) plus(o capacity) capacity {
+	return capacity{c.cpu + o.cpu, c.memMB + o.memMB, c.gpu + o.gpu}
+}
+
+func (c capacity) fits(o capacity) bool {
+	return c.cpu <= o.cpu && c.memMB <= o.memMB && c.gpu <= o.gpu
+}
+
+func (c capacity) wire() map[string]any {
+	return map[string]any{"cpu": c.cpu, "memMb": c.memMB, "gpu": c.gpu}
+}
+
 // taskRun is a run that has not ended.
 type taskRun struct {
 	task    string
@@ -48,7 +69,7 @@
 // addExecutor starts an executor on a machine of its own.
 func (d *deployment) addExecutor(labels ...string) (*executor, error) {
 	i := len(d.executors) + 1
-	x := &executor{d: d, machine: fmt.Sprintf("m-%02d", i), id: fmt.Sprintf("i-%02d", i), labels: labels, gpu: 8}
+	x := &executor{d: d, machine: fmt.Sprintf("m-%02d", i), id: fmt.Sprintf("i-%02d", i), labels: labels, capacity: wholeCapacity}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -127,10 +148,13 @@
 
 // publishLocked writes the executor's entry. The caller holds the lock.
 func (x *executor) publishLocked() {
+	if x.cut {
+		return
+	}
 	x.d.store.Put("keyed.servers", store.Record{Key: x.id, Value: mustMarshal(map[string]any{
 		"service": serviceName, "address": x.address, "zone": "nuwara", "version": "1", "slots": 8, "state": "ready",
 		"coldLeftMs": 0, "seq": time.Now().UnixMilli(), "born": x.born.UnixMilli(), "machine": x.machine, "labels": x.labels,
-		"capacity": map[string]any{"cpu": 128000, "memMb": 524288, "gpu": x.gpu}, "clockMs": x.clockMS(),
+		"capacity": x.capacity.wire(), "clockMs": x.clockMS(),
 	})})
 }
 
@@ -143,7 +167,8 @@
 		case x.closed:
 			x.mu.Unlock()
 			return
-		case x.up:
+		case x.up && !x.cut:
+			x.missed = 0
 			x.publishLocked()
 		default:
 			if x.missed++; x.missed == 3 {
@@ -163,6 +188,7 @@
 	Checkpoint string `json:"checkpoint"`
 	AckCursor  int64  `json:"ackCursor"`
 	WaitMs     int64  `json:"waitMs"`
+	Ticket     string `json:"ticket"`
 }
 
 // accept decodes an order and checks whom it is for and its fence. It returns with the lock held
@@ -251,6 +277,9 @@
 	case o.UntilMs < x.clockMS():
 		x.refuse(rw, "late")
 		return
+	case x.d.needsTicket(o.Task) && !x.d.advisor.permits(o.Task, x.id, o.Ticket):
+		x.refuse(rw, "ticket")
+		return
 	default:
 		x.extendLocked(o.UntilMs)
 		r := &taskRun{task: o.Task, number: o.Run, started: time.Now(), work: workOf(o.Spec)}
@@ -262,6 +291,7 @@
 			}
 		})
 		x.runs[o.Task] = r
+		x.checkStartLocked(r)
 		x.d.noteStart(o.Task)
 		x.d.record.note(x.id, "run %d of %s starts, ordered with fence %d", o.Run, o.Task, o.Fence)
 	}
@@ -270,6 +300,39 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"clockMs": clock})
 }
 
+// demand is what the tasks of a job require.
+type demand struct {
+	capacity
+	label  string
+	prefix string // of the queue
+}
+
+// needsTicket reports whether the task is of a queue with a policy.
+func (d *deployment) needsTicket(task string) bool {
+	return d.demandsByJob()[jobOf(task)].prefix == policyPrefix
+}
+
+// checkStartLocked checks the rules on the capacity and the label for a run that has just started.
+// The caller holds the lock.
+func (x *executor) checkStartLocked(r *taskRun) {
+	used, all := capacity{}, x.d.demandsByJob()
+	for task := range x.runs {
+		used = used.plus(all[jobOf(task)].capacity)
+	}
+	if !used.fits(x.capacity) {
+		x.d.record.breaks("LIMIT: the start of run %d of %s brings %s over its capacity: %+v in use of %+v", r.number, r.task, x.id, used, x.capacity)
+	}
+	if label := all[jobOf(r.task)].label; label != "" && !slices.Contains(x.labels, label) {
+		x.d.record.breaks("ROUTE: run %d of %s, which requires the label %q, starts on %s with the labels %q", r.number, r.task, label, x.id, x.labels)
+	}
+}
+
+// jobOf returns the job of a task.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // workOf returns the work of a task that is written in its spec, in milliseconds.
 func workOf(spec string) time.Duration {
 	var ms int64
@@ -306,6 +369,7 @@
 	if !ok {
 		return
 	}
+	x.heldAt = time.Now()
 	x.extendLocked(o.UntilMs)
 	kept := x.ends[:0]
 	for _, e := range x.ends {
@@ -348,7 +412,7 @@
 func (d *deployment) noteStart(task string) {
 	d.starts.mu.Lock()
 	defer d.starts.mu.Unlock()
-	job, _, _ := strings.Cut(task, ".")
+	job := jobOf(task)
 	if _, known := d.starts.at[job]; !known {
 		d.starts.at[job] = time.Now()
 	}
@@ -362,6 +426,31 @@
 	return at, ok
 }
 
+// lastHold returns when the last hold arrived at the executor.
+func (x *executor) lastHold() time.Time {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.heldAt
+}
+
+// become changes the kind of the executor for its next life.
+func (x *executor) become(c capacity, labels ...string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.capacity, x.labels = c, labels
+}
+
+// setCut cuts the executor off from the platform's store, or ends that.
+func (x *executor) setCut(cut bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cut = cut
+	x.d.record.note(x.id, "cut off from the platform's store: %v", cut)
+	if !cut && x.up {
+		x.publishLocked()
+	}
+}
+
 // runsNow returns the number of runs on the executor.
 func (x *executor) runsNow() int {
 	x.mu.Lock()
--- a/review/_standin-2/machines.go
+++ b/review/_standin-2/machines.go
@@ -72,7 +72,7 @@
 		}
 		rows = append(rows, map[string]any{
 			"machine": x.machine, "pool": serviceName, "state": state, "zone": "nuwara", "labels": x.labels,
-			"capacity": map[string]any{"cpu": 128000, "memMb": 524288, "gpu": x.gpu}, "id": x.id,
+			"capacity": x.capacity.wire(), "id": x.id,
 		})
 		x.mu.Unlock()
 	}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -27,6 +27,8 @@
 	"late-upkeep":   playLateUpkeep,
 	"counted-crash": playCountedCrash,
 	"wide-workflow": playWideWorkflow,
+	"other-kind":    playOtherKind,
+	"long-advice":   playLongAdvice,
 }
 
 func main() {
--- a/review/_standin-2/wide_workflow.go
+++ b/review/_standin-2/wide_workflow.go
@@ -5,13 +5,6 @@
 	"time"
 )
 
-const (
-	// finishTime is how long after the end of the traffic accepted jobs are judged.
-	finishTime = 14 * time.Second
-	// idleTime is for how long a job must not have nothing running while there is room.
-	idleTime = 3 * time.Second
-)
-
 // Shape of a wide workflow: reducing steps wait for all mapping steps. Its body is smaller than the
 // manifest's maxBodyBytes.
 const (
@@ -50,26 +43,7 @@
 		return
 	}
 	r.note("client", "the traffic ends")
-	time.Sleep(finishTime)
-	var idleSince time.Time
-	for end := time.Now().Add(3 * idleTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		free := len(d.executors) - d.busyExecutors()
-		_, started := d.startedAt(small)
-		switch {
-		case started:
-			r.note("client", "GET %s%s: %s", queuePrefix, small, d.hosts[0].state(small))
-			return
-		case free < len(d.executors)/2+1:
-			idleSince = time.Time{}
-		case idleSince.IsZero():
-			idleSince = time.Now()
-		case time.Since(idleSince) >= idleTime:
-			r.note("client", "GET %s%s: %s", queuePrefix, small, d.hosts[0].state(small))
-			r.breaks("LOST: %v after the end of the traffic an accepted job has had nothing running for %v, while %d of %d executors were free",
-				finishTime, idleTime, free, len(d.executors))
-			return
-		}
-	}
+	d.judgeIdle(small)
 }
 
 // wideWorkflow returns a job of steps with one task each.
