--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -25,10 +25,10 @@
 // disruption.
 var cases = map[string]func(d *deployment, trouble bool){
 	"late-upkeep":   playLateUpkeep,
-	"counted-crash": playCountedCrash,
 	"wide-workflow": playWideWorkflow,
 	"other-kind":    playOtherKind,
 	"long-advice":   playLongAdvice,
+	"deadly-task":   playDeadlyTask,
 }
 
 func main() {
