Wait for advice for as long as the manifest says

The manifest says how long a call takes (decideMs and eachMs for each worker named), and these figures were dropped when it was decoded. A call for 24 tasks names 48 workers and takes 2.22 s there; it was given up, repeated, and given up again without end, while the service still worked on the former ones. Change: the manifest's figures reach the scheduler. The timeout of a call is twice the expected time and 2 s, the calls before it that the service still processes included. A call names no more workers than fit into 2 s and into half of the tickets' validity; one for a gang names as many as the gang needs. It names workers with room first, and only those known to be allowed if they are enough. The validity of tickets counts from the answer, which the manifest's figures bound, until a worker refuses a ticket that shows that it counts from the call. A gang keeps its reservation on workers whose tickets are still to come. The objective of a job and the cost of a restart include the call. The stand-in of the service processes the calls of a host in turn. Conclusion: a call is awaited for as long as it takes by the manifest in force, so that its answer is used.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -229,7 +229,7 @@
 	}
 	registry := gometrics.NewRegistry()
 	o := engine.Options{
-		Host: name, CPUShare: c.cpuShares[name], Store: client, Workers: workersClient, Advisor: c.advisor, Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
+		Host: name, CPUShare: c.cpuShares[name], Store: client, Workers: workersClient, Advisor: c.advisor.Client(name), Machines: c.machines, StatusTopic: statusTopic, EncodeWaveStatus: encodeWaveStatus,
 		OperatorTopic: operatorTopic, WorkerTopic: standin.TopicWorkers,
 		DecodeOperator: decodeOperator, DecodeWorker: standin.DecodeWorker,
 		Bounds: scheduler.Bounds{
--- a/internal/engine/intake/intake.go
+++ b/internal/engine/intake/intake.go
@@ -244,6 +244,9 @@
 	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
 	job.Stretch, job.ObjectiveMS = queue.Stretch, queue.ObjectiveMS
 	job.NeedsAdvice = queue.NeedsAdvice
+	if queue.NeedsAdvice {
+		job.AdviceMS = int(queue.Advice.CallDuration(manifest.UsualAdviceWorkers).Milliseconds())
+	}
 	job.AcceptedMS = s.WallClock().UnixMilli()
 	record := store.Record{Key: replica.JobKey(job.ID), Value: job.Encode()}
 	if err := s.StoreLimits.Check([]store.Record{record}); err != nil {
--- a/internal/engine/manifest/manifest.go
+++ b/internal/engine/manifest/manifest.go
@@ -3,8 +3,10 @@
 package manifest
 
 import (
+	"math"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 )
@@ -23,10 +25,37 @@
 	Stretch     float64
 	ObjectiveMS int
 	Public      bool // calls need no key
-	// NeedsAdvice restricts each step to the workers that the advice service names.
+	// NeedsAdvice restricts each step to the workers that the advice service names. Advice is what
+	// its calls cost then.
 	NeedsAdvice bool
+	Advice      Advice
 }
 
+// Advice describes the calls to the advice service for the steps of a queue.
+type Advice struct {
+	Base      time.Duration // duration of a call that names no worker
+	PerWorker time.Duration // further duration for each worker that a call names
+	Validity  time.Duration // how long a ticket is valid
+}
+
+// CallDuration returns how long the service takes for a call that names the given number of workers.
+func (a Advice) CallDuration(workers int) time.Duration {
+	return a.Base + time.Duration(workers)*a.PerWorker
+}
+
+// WorkersWithin returns how many workers a call may name to take no longer than d, but at least as
+// many as make up half of its duration.
+func (a Advice) WorkersWithin(d time.Duration) int {
+	if a.PerWorker <= 0 {
+		return math.MaxInt
+	}
+	return max(int((d-a.Base)/a.PerWorker), int(a.Base/a.PerWorker), 1)
+}
+
+// UsualAdviceWorkers is the number of workers of the call that the objective of a step accounts for,
+// by the platform's pages.
+const UsualAdviceWorkers = 30
+
 // ID returns an identifier of the queue that is stable across versions of the manifest.
 func (q *Queue) ID() string { return q.Host + q.PathPrefix }
 
--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -1,33 +1,57 @@
 package scheduler
 
 import (
-	"cmp"
-	"context"
-	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/daisyfold/daisyfold/internal/engine/manifest"
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
-	"github.com/daisyfold/daisyfold/internal/engine/work"
-	"github.com/daisyfold/daisyfold/internal/engine/workers"
 )
 
-// minAdviceWorkers and maxAdviceWorkers bound the number of workers that one call asks
-// about. The platform accepts at most 100.
-const minAdviceWorkers, maxAdviceWorkers = 30, 100
-
-const (
-	// adviceTimeout limits the duration of a call, which increases with the number of
-	// workers.
-	adviceTimeout = 2 * time.Second
-	// adviceRetryDelay is the delay of all calls after one that failed.
-	adviceRetryDelay = 300 * time.Millisecond
-	// ticketMargin is the part of a ticket's validity that is kept for recording and
-	// sending the start.
-	ticketMargin = 300 * time.Millisecond
-)
+// ticketMargin is the part of a ticket's validity that is kept for recording and sending the start.
+const ticketMargin = 300 * time.Millisecond
+
+// adviceState is what a term knows of the advice service.
+type adviceState struct {
+	manifest *manifest.Manifest // whose queues are in queues
+	// queues holds the queues by id. Those that the manifest no longer has stay, because their jobs
+	// still need advice.
+	queues map[string]manifest.Advice
+	// inFlight reports whether a call is pending. The next one is sent at nextAt or later.
+	inFlight bool
+	nextAt   time.Duration
+	// busyUntil is when the service should have processed the calls that were sent. It processes
+	// those of a host in turn, also those that the host has given up.
+	busyUntil time.Duration
+	// countsFromCall is set once a worker has refused a ticket whose validity had ended if it
+	// counts from the sending of the call, and not from its answer.
+	countsFromCall bool
+}
+
+// updateAdvice applies a new version of the manifest.
+func (t *term) updateAdvice() {
+	m := t.Operator.View().Manifest
+	if m == nil || m == t.advice.manifest {
+		return
+	}
+	t.advice.manifest = m
+	for _, q := range m.Queues {
+		t.advice.queues[q.ID()] = q.Advice
+	}
+}
+
+// needsAdvice reports whether starts of the job need tickets.
+func (t *term) needsAdvice(j *job) bool { return j.NeedsAdvice }
+
+// adviceCalls describes the calls for the steps of a job. Of a queue that no manifest of this term
+// has, only the duration of the usual call is known.
+func (t *term) adviceCalls(j *job) manifest.Advice {
+	if advice, known := t.advice.queues[j.Queue]; known {
+		return advice
+	}
+	return manifest.Advice{Base: time.Duration(j.AdviceMS) * time.Millisecond}
+}
 
 // advice is what the advice service has answered for one step.
 type advice struct {
@@ -44,12 +68,27 @@
 type ticket struct {
 	text      string
 	workerKey string
-	expiresAt time.Duration
+	validFor  time.Duration
+	// sentAt is when the call was sent, and answeredAfter a lower bound of when it was answered.
+	sentAt, answeredAfter time.Duration
+}
+
+// expiresAt returns the end of the ticket's validity.
+func (a *adviceState) expiresAt(tk ticket) time.Duration {
+	if a.countsFromCall {
+		return tk.sentAt + tk.validFor
+	}
+	return tk.answeredAfter + tk.validFor
 }
 
-// valid reports whether the ticket permits starts on the worker at the given time.
-func (tk ticket) valid(w *worker, at time.Duration) bool {
-	return tk.workerKey == w.key && at < tk.expiresAt
+// permits reports whether the ticket permits starts on the worker at the given time.
+func (a *adviceState) permits(tk ticket, w *worker, at time.Duration) bool {
+	return tk.workerKey == w.key && at < a.expiresAt(tk)
+}
+
+// isUsable reports whether the ticket is valid for long enough for a start that is planned now.
+func (a *adviceState) isUsable(tk ticket, w *worker, now time.Duration) bool {
+	return a.permits(tk, w, now+ticketMargin)
 }
 
 // adviceFor returns the advice for a step, given its number over all occurrences.
@@ -62,106 +101,57 @@
 	return a
 }
 
-// workersWithTicket returns the keys of the workers for which the step has a ticket that
-// is valid long enough.
+// workersWithTicket returns the keys of the workers for which the step has a usable ticket.
 func (t *term) workersWithTicket(j *job, step int, now time.Duration) map[string]bool {
 	allowed := map[string]bool{}
 	for id, tk := range j.adviceFor(step).tickets {
-		if w := t.workers[t.latestKeys[id]]; w != nil && tk.valid(w, now+ticketMargin) {
+		if w := t.workers[t.latestKeys[id]]; w != nil && t.advice.isUsable(tk, w, now) {
 			allowed[w.key] = true
 		}
 	}
 	return allowed
 }
 
+// workersPermitted returns the keys of the workers that the step is known to be allowed on, whether
+// or not the tickets are still valid.
+func (t *term) workersPermitted(s *plan.Snapshot, q readyStep) map[string]bool {
+	tickets := q.job.adviceFor(q.step).tickets
+	return t.workersWhere(s, func(id string) bool { _, ok := tickets[id]; return ok })
+}
+
 // workersNotDenied returns the keys of the workers that the step is or may yet be allowed
 // on: all but those that were asked about without getting a ticket.
 func (t *term) workersNotDenied(s *plan.Snapshot, q readyStep) map[string]bool {
 	known := q.job.adviceFor(q.step)
-	allowed := map[string]bool{}
+	return t.workersWhere(s, func(id string) bool { _, ok := known.tickets[id]; return ok || !known.asked[id] })
+}
+
+// workersWhere returns the keys of the workers whose id meets the condition.
+func (t *term) workersWhere(s *plan.Snapshot, condition func(id string) bool) map[string]bool {
+	keys := map[string]bool{}
 	for _, n := range s.Nodes {
-		id := t.workers[n.Key].entry.ID
-		if _, hasTicket := known.tickets[id]; hasTicket || !known.asked[id] {
-			allowed[n.Key] = true
+		if condition(t.workers[n.Key].entry.ID) {
+			keys[n.Key] = true
 		}
 	}
-	return allowed
+	return keys
 }
 
 // ticketFor returns the ticket for the start of a run; ok reports whether the ticket is
 // valid.
 func (t *term) ticketFor(r *run, now time.Duration) (text string, ok bool) {
 	tk := r.job.adviceFor(r.job.StepNumber(r.name.Task)).tickets[r.worker.entry.ID]
-	return tk.text, tk.valid(r.worker, now)
-}
-
-// requestAdvice asks about more workers for a waiting step. Only one call is in flight at
-// a time, because the service processes the calls of a host one after the other.
-func (t *term) requestAdvice(s *plan.Snapshot, q readyStep, now time.Duration) {
-	if t.adviceInFlight || now < t.nextAdviceAt || t.Advisor == nil || now < q.job.adviceFor(q.step).calls.at {
-		return
-	}
-	ids := t.adviceCandidates(s, q, now)
-	if len(ids) == 0 {
-		return
-	}
-	t.adviceInFlight = true
-	j, step, name := q.job, q.step, work.StepName(q.job.TaskName(q.step, 0))
-	t.spawn(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, adviceTimeout)
-		defer cancel()
-		answer, err := t.Advisor.Advise(ctx, name, ids)
-		t.post(func(t *term) { t.handleAdvice(j, step, ids, now, answer, err) })
-	})
+	return tk.text, t.advice.permits(tk, r.worker, now)
 }
 
-// adviceCandidates returns the ids of workers without a valid ticket that may get one:
-// those that were not asked about, and those whose ticket has expired. Workers with the
-// most free resources come first.
-func (t *term) adviceCandidates(s *plan.Snapshot, q readyStep, now time.Duration) []string {
-	known := q.job.adviceFor(q.step)
-	nodes := slices.Clone(s.Nodes)
-	slices.SortStableFunc(nodes, func(a, b *plan.Node) int {
-		return cmp.Or(cmp.Compare(b.Free.Accelerators, a.Free.Accelerators), cmp.Compare(b.Free.CPU, a.Free.CPU))
-	})
-	limit := min(max(minAdviceWorkers, 2*len(q.tasks)), maxAdviceWorkers)
-	var ids []string
-	for _, n := range nodes {
-		w := t.workers[n.Key]
-		tk, hasTicket := known.tickets[w.entry.ID]
-		if (hasTicket && !tk.valid(w, now+ticketMargin)) || !known.asked[w.entry.ID] {
-			ids = append(ids, w.entry.ID)
-		}
-		if len(ids) == limit {
-			break
-		}
-	}
-	return ids
-}
-
-// handleAdvice processes the answer to a call that was sent at the given time.
-func (t *term) handleAdvice(j *job, step int, ids []string, sent time.Duration, answer workers.Advice, err error) {
-	t.adviceInFlight = false
-	known := j.adviceFor(step)
-	if err == nil && len(answer.Tickets) > 0 && answer.ValidFor <= ticketMargin {
-		err = trace.Errorf("the tickets are valid for %v, which is too short to use them", answer.ValidFor)
-	}
-	if err != nil {
-		now := t.Now()
-		known.calls.fail(now)
-		t.nextAdviceAt = now + adviceRetryDelay
-		t.log.Warn("no advice for a step", zap.String("job", j.ID), zap.Int("step", step), zap.Int("failures", known.calls.failures), zap.Error(err))
-		t.nextPlanAt = min(t.nextPlanAt, t.nextAdviceAt)
-		return
-	}
-	known.calls = retry{}
-	for _, id := range ids {
-		known.asked[id] = true
-	}
-	for id, text := range answer.Tickets {
-		known.tickets[id] = ticket{text: text, workerKey: t.latestKeys[id], expiresAt: sent + answer.ValidFor}
+// handleNoTicket processes the refusal of a start for its ticket. Another ticket is asked for.
+func (t *term) handleNoTicket(r *run) {
+	known, id := r.job.adviceFor(r.job.StepNumber(r.name.Task)), r.worker.entry.ID
+	tk := known.tickets[id]
+	if tk.workerKey == r.worker.key && !t.advice.countsFromCall && t.Now() >= tk.sentAt+tk.validFor {
+		t.advice.countsFromCall = true
+		t.log.Info("the validity of tickets counts from the call for advice", zap.Stringer("run", r.name), zap.Duration("valid", tk.validFor))
 	}
-	t.log.Info("advice", zap.String("job", j.ID), zap.Int("step", step), zap.Int("asked", len(ids)),
-		zap.Int("good", len(answer.Tickets)), zap.Duration("valid", answer.ValidFor), zap.Duration("took", t.Now()-sent))
-	t.needsPlanning = true
+	delete(known.tickets, id)
+	delete(known.asked, id)
 }
--- a/internal/engine/scheduler/orders.go
+++ b/internal/engine/scheduler/orders.go
@@ -46,7 +46,7 @@
 		return
 	}
 	var ticket string
-	if r.job.NeedsAdvice {
+	if t.needsAdvice(r.job) {
 		var ok bool
 		if ticket, ok = t.ticketFor(r, now); !ok {
 			t.log.Info("a planned run is not started: its ticket has expired", zap.Stringer("run", r.name), zap.String("worker", r.worker.key))
@@ -158,8 +158,7 @@
 		t.markDead(w)
 		return
 	case workers.NoTicket:
-		delete(r.job.adviceFor(r.job.StepNumber(r.name.Task)).tickets, w.entry.ID)
-		delete(r.job.adviceFor(r.job.StepNumber(r.name.Task)).asked, w.entry.ID)
+		t.handleNoTicket(r)
 	case workers.Malformed:
 		r.job.startRejected(r.job.StepNumber(r.name.Task), t.Now())
 	case workers.Unhealthy, workers.NotSent, workers.NoRoom:
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -259,13 +259,14 @@
 		t.hold(q, p)
 		return
 	}
-	if q.job.NeedsAdvice {
+	needsAdvice := t.needsAdvice(q.job)
+	if needsAdvice {
 		request.Allowed = t.workersNotDenied(s, q)
 	}
 	if !s.FitsWhenEmpty(request) || (waited > preferredRackTimeout && (step.PreferredRack != "" || (step.Gang && !s.FitsEventually(request)))) {
 		request.AnyRack = true
 	}
-	if q.job.NeedsAdvice {
+	if needsAdvice {
 		request.Allowed = t.workersWithTicket(q.job, q.step, now)
 	}
 	if p.isUnderused(s) && min(waited, now-p.underusedSince[s]) > maxReservationWait {
@@ -326,8 +327,9 @@
 	if inCap == 0 && (!q.mayPreempt() || t.waitsForReservation(q)) {
 		return // the rest waits for the cap only
 	}
-	if q.job.NeedsAdvice {
-		t.requestAdvice(s, q, p.now)
+	needsAdvice := t.needsAdvice(q.job)
+	if needsAdvice {
+		t.requestAdvice(s, q, &unplaced, p.now)
 	}
 	if step.LatencySensitive && inCap > 0 {
 		sharing := unplaced
@@ -344,6 +346,9 @@
 	}
 	if step.Gang && inCap > 0 && p.reservations < maxReservations {
 		p.reservations++
+		if needsAdvice {
+			unplaced.Allowed = t.workersNotDenied(s, q) // its tickets may still be to come
+		}
 		s.Reserve(&unplaced)
 	}
 }
--- a/internal/engine/scheduler/progress.go
+++ b/internal/engine/scheduler/progress.go
@@ -212,9 +212,9 @@
 	if r.speed.last > 0 {
 		continueSeconds = min(continueSeconds, remaining/r.speed.last)
 	}
-	restartSeconds := restartCost.Seconds() + completePercent/usualSpeed
+	restartSeconds := r.restartCost().Seconds() + completePercent/usualSpeed
 	if r.step().SavesProgress {
-		restartSeconds = restartCost.Seconds() + remaining/usualSpeed
+		restartSeconds = r.restartCost().Seconds() + remaining/usualSpeed
 	}
 	return continueSeconds > minMoveGain*restartSeconds
 }
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -25,7 +25,7 @@
 	omitsCheckpoints bool
 	// runs are the job's runs that are not known to have ended.
 	runs map[*run]bool
-	// advice is the answer of the advice service, by step.
+	// advice is what the advice service has answered, by step.
 	advice map[int]*advice
 	// claims are the resources that preemption is freeing, by step.
 	claims map[int]claim
--- a/internal/engine/scheduler/stop_cost.go
+++ b/internal/engine/scheduler/stop_cost.go
@@ -11,9 +11,14 @@
 // first.
 const longRunningStopCost = 30 * time.Second
 
-// restartCost is the time that stopping and restarting a run takes; it is added to the
-// lost work.
-const restartCost = 500 * time.Millisecond
+// baseRestartCost is the time that stopping and restarting a run takes without a call for advice.
+const baseRestartCost = 500 * time.Millisecond
+
+// restartCost returns the time that stopping and restarting the run takes; it is added to the lost
+// work.
+func (r *run) restartCost() time.Duration {
+	return baseRestartCost + time.Duration(r.job.AdviceMS)*time.Millisecond
+}
 
 // stopCost returns the cost of stopping a run, see urgency.StopCost.
 func (t *term) stopCost(r *run, now time.Duration) float64 {
@@ -35,9 +40,9 @@
 		return w
 	}
 	remaining := r.remainingTime(now)
-	again, lost := remaining+restartCost, restartCost
+	again, lost := remaining+r.restartCost(), r.restartCost()
 	if !step.SavesProgress {
-		again = restartCost + time.Duration(step.EstimateMS)*time.Millisecond
+		again = r.restartCost() + time.Duration(step.EstimateMS)*time.Millisecond
 		if r.startedAt > 0 {
 			lost += now - r.startedAt
 		}
--- a/internal/engine/scheduler/takeover.go
+++ b/internal/engine/scheduler/takeover.go
@@ -56,6 +56,7 @@
 	t.drainEvents()
 	t.zonesOut = t.Operator.ZonesOut()
 	t.updateCaps()
+	t.updateAdvice()
 	t.updateWaves()
 	t.inheritJobs(runs)
 	t.tookOver = true
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/blame"
+	"github.com/daisyfold/daisyfold/internal/engine/manifest"
 	"github.com/daisyfold/daisyfold/internal/engine/quota"
 	"github.com/daisyfold/daisyfold/internal/engine/recovery"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
@@ -82,14 +83,11 @@
 	// orphansCheckedAt is when cancellations without a job were last checked for.
 	orphansCheckedAt time.Duration
 	needsPlanning    bool
-	// adviceInFlight reports whether a call to the advice service is pending. The next
-	// call is sent at nextAdviceAt or later.
-	adviceInFlight bool
-	nextAdviceAt   time.Duration
-	waves          waveState
-	firstPolls     firstPolls
-	startQueue     startQueue
-	stopsInFlight  inFlight[*run]
+	advice           adviceState
+	waves            waveState
+	firstPolls       firstPolls
+	startQueue       startQueue
+	stopsInFlight    inFlight[*run]
 	// headroomLoggedAt is when the headroom was last logged.
 	headroomLoggedAt time.Duration
 	// quota is charged for the runs of all workers.
@@ -110,7 +108,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), advice: adviceState{queues: map[string]manifest.Advice{}}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
@@ -322,6 +320,7 @@
 func (t *term) applyOperatorChanges() {
 	t.zonesOut = t.Operator.ZonesOut()
 	t.updateCaps()
+	t.updateAdvice()
 	t.updateWaves()
 	t.needsPlanning = true
 }
--- a/internal/engine/work/job.go
+++ b/internal/engine/work/job.go
@@ -103,6 +103,9 @@
 	Spec         string  `json:"s"` // passed to the workers unchanged
 	// NeedsAdvice restricts each step to workers that the advice service allows.
 	NeedsAdvice bool `json:"ad,omitempty"`
+	// AdviceMS is how long a step waits for a usual call for advice, by the manifest at the job's
+	// acceptance; 0 if it needs none.
+	AdviceMS int `json:"am,omitempty"`
 	// Steps are the steps of one occurrence.
 	Steps []Step `json:"st"`
 	// Occurrences is the number of times that a repeated job runs; 0 means that the job
@@ -210,6 +213,9 @@
 	return nil
 }
 
+// stepMS returns the estimated duration of a step's tasks and of the call for advice before them.
+func (j *Job) stepMS(step int) int { return j.AdviceMS + j.Steps[step].EstimateMS }
+
 // CriticalPathMS returns the duration of the longest chain of dependent steps in an
 // occurrence, by their estimates.
 func (j *Job) CriticalPathMS() int {
@@ -220,7 +226,7 @@
 		for _, earlier := range s.After {
 			start = max(start, ends[earlier])
 		}
-		ends[i] = start + s.EstimateMS
+		ends[i] = start + j.stepMS(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -230,12 +236,12 @@
 // given one, by their estimates.
 func (j *Job) RemainingPathMS(step int) int {
 	first := step % len(j.Steps)
-	ends := map[int]int{first: j.Steps[first].EstimateMS}
+	ends := map[int]int{first: j.stepMS(first)}
 	longest := ends[first]
 	for i := first + 1; i < len(j.Steps); i++ {
 		for _, earlier := range j.Steps[i].After {
 			if end, ok := ends[earlier]; ok {
-				ends[i] = max(ends[i], end+j.Steps[i].EstimateMS)
+				ends[i] = max(ends[i], end+j.stepMS(i))
 			}
 		}
 		longest = max(longest, ends[i])
@@ -266,6 +272,7 @@
 	maxObjectiveMS = 1 << 40
 	maxPriority    = 1 << 20
 	maxMaxAttempts = 1 << 20
+	maxAdviceMS    = 1 << 40
 )
 
 // DecodeJob decodes and validates the record of the job with the given id.
@@ -281,6 +288,8 @@
 		return nil, trace.BadParameter("the job's priority or number of attempts is out of range")
 	case j.Stretch < 0 || j.Stretch > maxStretch || j.ObjectiveMS < 0 || j.ObjectiveMS > maxObjectiveMS:
 		return nil, trace.BadParameter("the job's objective is out of range")
+	case j.AdviceMS < 0 || j.AdviceMS > maxAdviceMS:
+		return nil, trace.BadParameter("the time that the job's steps wait for advice is out of range")
 	case j.AcceptedMS < 0 || j.AcceptedMS > maxTimestampMS:
 		return nil, trace.BadParameter("the time of the job's acceptance is out of range")
 	}
--- a/internal/engine/work/job_test.go
+++ b/internal/engine/work/job_test.go
@@ -79,3 +79,15 @@
 		}
 	}
 }
+
+// TestObjectiveCountsAdvice guards against an objective that is too early for jobs whose steps wait
+// for advice, so that they count as late, or as worth nothing, before they are.
+func TestObjectiveCountsAdvice(t *testing.T) {
+	j := &Job{AcceptedMS: 1000, AdviceMS: 1500, Stretch: 2, ObjectiveMS: 250, Steps: []Step{{EstimateMS: 100}, {EstimateMS: 200, After: []int{0}}, {EstimateMS: 400}}}
+	if got, want := j.DeadlineMS(0), int64(1000+2*(1500+100+1500+200)+250); got != want {
+		t.Errorf("the deadline is %d ms, want %d", got, want)
+	}
+	if got, want := j.RemainingPathMS(1), 1700; got != want {
+		t.Errorf("%d ms remain from the second step, want %d", got, want)
+	}
+}
