Use tickets that are valid for less than 300 ms

Callers of a queue whose tickets are valid for a short time saw an accepted job that never started.

Cause: a ticket was only used while 300 ms of its validity were left, for the record and the start that follow, and an answer with tickets that are valid for no longer counted as failed. Change: the margin is at most half of the validity. Measured: TestSlowAdviceIsAwaited, tickets shorter than the margin: "has not ended within 10s" before, passes now.

--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -9,8 +9,9 @@
 	"github.com/daisyfold/daisyfold/internal/engine/plan"
 )
 
-// ticketMargin is the part of a ticket's validity that is kept for recording and sending the start.
-const ticketMargin = 300 * time.Millisecond
+// maxTicketMargin bounds the part of a ticket's validity that is kept for recording and sending the
+// start; at most half of the validity is.
+const maxTicketMargin = 300 * time.Millisecond
 
 // adviceState is what a term knows of the advice service.
 type adviceState struct {
@@ -88,7 +89,7 @@
 
 // isUsable reports whether the ticket is valid for long enough for a start that is planned now.
 func (a *adviceState) isUsable(tk ticket, w *worker, now time.Duration) bool {
-	return a.permits(tk, w, now+ticketMargin)
+	return a.permits(tk, w, now+min(maxTicketMargin, tk.validFor/2))
 }
 
 // adviceFor returns the advice for a step, given its number over all occurrences.
--- a/internal/engine/scheduler/advice_calls.go
+++ b/internal/engine/scheduler/advice_calls.go
@@ -140,8 +140,8 @@
 func (t *term) handleAdvice(c adviceCall, answer workers.Advice, err error) {
 	t.advice.inFlight = false
 	now, known := t.Now(), c.job.adviceFor(c.step)
-	if err == nil && len(answer.Tickets) > 0 && answer.ValidFor <= ticketMargin {
-		err = trace.Errorf("the tickets are valid for %v, which is too short to use them", answer.ValidFor)
+	if err == nil && len(answer.Tickets) > 0 && answer.ValidFor <= 0 {
+		err = trace.Errorf("the tickets are valid for %v", answer.ValidFor)
 	}
 	if err != nil {
 		t.handleFailedAdvice(c, err)
--- a/internal/engine/slow_advice_test.go
+++ b/internal/engine/slow_advice_test.go
@@ -54,6 +54,7 @@
 		{"a long base", manifest.Advice{Base: 3000 * ms, PerWorker: 10 * ms, Validity: 2000 * ms}, 24, false, false, 20 * time.Second},
 		{"calls longer than ten seconds", manifest.Advice{Base: 11_000 * ms, PerWorker: 0, Validity: 3000 * ms}, 24, true, false, 45 * time.Second},
 		{"very slow for each worker", manifest.Advice{Base: 0, PerWorker: 1500 * ms, Validity: 5000 * ms}, 3, false, false, 20 * time.Second},
+		{"tickets shorter than the margin", manifest.Advice{Base: 20 * ms, PerWorker: 2 * ms, Validity: 250 * ms}, 24, false, false, 10 * time.Second},
 		{"tickets shorter than the call", manifest.Advice{Base: 500 * ms, PerWorker: 40 * ms, Validity: 700 * ms}, 24, false, false, 20 * time.Second},
 		{"validity counts from the call", manifest.Advice{Base: 300 * ms, PerWorker: 40 * ms, Validity: 3000 * ms}, 24, false, true, 20 * time.Second},
 		{"validity of a gang counts from the call", manifest.Advice{Base: 300 * ms, PerWorker: 40 * ms, Validity: 3000 * ms}, 12, true, true, 20 * time.Second},
