Let the manifest in force say whether starts need tickets

Callers saw an accepted job that never started after a later version of the manifest had given its queue advice.

Cause: whether a job needs advice was fixed at its acceptance. The workers refuse starts without a ticket as soon as the queue has advice, and such starts were repeated without end. Change: the queues of the manifest in force decide; for a queue that it no longer has, its last version does, and then the job. Measured: TestAdviceOfManifestInForce/advice_is_introduced: "has not ended within 20s" before, passes now. Conclusion: advice that is introduced, changed or removed holds for the jobs that were accepted before.

--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -18,7 +18,7 @@
 	manifest *manifest.Manifest // whose queues are in queues
 	// queues holds the queues by id. Those that the manifest no longer has stay, because their jobs
 	// still need advice.
-	queues map[string]manifest.Advice
+	queues map[string]queueAdvice
 	// inFlight reports whether a call is pending. The next one is sent at nextAt or later.
 	inFlight bool
 	nextAt   time.Duration
@@ -30,6 +30,12 @@
 	countsFromCall bool
 }
 
+// queueAdvice is what the manifest says about advice for the jobs of a queue.
+type queueAdvice struct {
+	needed bool
+	advice manifest.Advice
+}
+
 // updateAdvice applies a new version of the manifest.
 func (t *term) updateAdvice() {
 	m := t.Operator.View().Manifest
@@ -38,18 +44,24 @@
 	}
 	t.advice.manifest = m
 	for _, q := range m.Queues {
-		t.advice.queues[q.ID()] = q.Advice
+		t.advice.queues[q.ID()] = queueAdvice{needed: q.NeedsAdvice, advice: q.Advice}
 	}
 }
 
-// needsAdvice reports whether starts of the job need tickets.
-func (t *term) needsAdvice(j *job) bool { return j.NeedsAdvice }
+// needsAdvice reports whether starts of the job need tickets: as the manifest in force says, which
+// can have changed since the job's acceptance.
+func (t *term) needsAdvice(j *job) bool {
+	if q, known := t.advice.queues[j.Queue]; known {
+		return q.needed
+	}
+	return j.NeedsAdvice
+}
 
 // adviceCalls describes the calls for the steps of a job. Of a queue that no manifest of this term
 // has, only the duration of the usual call is known.
 func (t *term) adviceCalls(j *job) manifest.Advice {
-	if advice, known := t.advice.queues[j.Queue]; known {
-		return advice
+	if q, known := t.advice.queues[j.Queue]; known {
+		return q.advice
 	}
 	return manifest.Advice{Base: time.Duration(j.AdviceMS) * time.Millisecond}
 }
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/daisyfold/daisyfold/internal/engine/blame"
-	"github.com/daisyfold/daisyfold/internal/engine/manifest"
 	"github.com/daisyfold/daisyfold/internal/engine/quota"
 	"github.com/daisyfold/daisyfold/internal/engine/recovery"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
@@ -108,7 +107,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), advice: adviceState{queues: map[string]manifest.Advice{}}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), advice: adviceState{queues: map[string]queueAdvice{}}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
--- a/internal/engine/slow_advice_test.go
+++ b/internal/engine/slow_advice_test.go
@@ -92,4 +92,19 @@
 			c.awaitStatus(j.ID, work.Completed, 20*time.Second)
 		})
 	})
+	t.Run("advice is introduced", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, clusterOptions{hosts: 2, workers: 8})
+			defer c.close()
+			j := newAdvisedJob(1, 4, false) // its starts need tickets
+			j.Occurrences, j.FirstDueMS = 1, time.Now().Add(3*time.Second).UnixMilli()
+			c.submit("normal", j, standin.Behaviour{Work: time.Second})
+			m := defaultManifest()
+			for i := range m.Queues {
+				m.Queues[i].NeedsAdvice = true
+			}
+			c.publishManifest(m)
+			c.awaitStatus(j.ID, work.Completed, 20*time.Second)
+		})
+	})
 }
