Postpone the renewal of tickets that were of no use

Callers saw jobs that never started while other jobs waited for room at queues with advice.

Cause: a step that waits for room asked for new tickets as soon as its own had expired. The service processes the calls of a host in turn, so a few such steps of a higher priority took all the time that it has. Change: calls that renew tickets are postponed with a growing delay until tasks of the step are placed. Calls about workers that the step was not asked about yet are not: there are only as many as there are workers. Conclusion: waiting steps leave most of the service's time to others.

--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -73,8 +73,9 @@
 	asked map[string]bool
 	// tickets holds the tickets of the workers that may run the step, by worker id.
 	tickets map[string]ticket
-	// calls postpones calls for the step after failed ones.
-	calls retry
+	// calls postpones calls for the step after failed ones, and renewals those for workers whose
+	// tickets have expired: without a start in between they were of no use.
+	calls, renewals retry
 }
 
 // ticket permits tasks of a step to start on one incarnation of a worker.
--- a/internal/engine/scheduler/advice_calls.go
+++ b/internal/engine/scheduler/advice_calls.go
@@ -39,6 +39,7 @@
 	job      *job
 	step     int
 	ids      []string // the workers that it names
+	renews   bool     // it names workers whose tickets have expired
 	sentAt   time.Duration
 	duration time.Duration // expected, without the calls before it
 	timeout  time.Duration
@@ -55,8 +56,9 @@
 	c := adviceCall{job: q.job, step: q.step, sentAt: now}
 	for _, w := range t.adviceCandidates(s, q, unplaced, calls, now) {
 		c.ids = append(c.ids, w.entry.ID)
+		c.renews = c.renews || known.asked[w.entry.ID]
 	}
-	if len(c.ids) == 0 {
+	if len(c.ids) == 0 || (c.renews && now < known.renewals.at) {
 		return
 	}
 	c.duration = calls.CallDuration(len(c.ids))
@@ -149,6 +151,9 @@
 	}
 	t.advice.busyUntil = min(t.advice.busyUntil, now)
 	known.calls = retry{}
+	if c.renews {
+		known.renewals.fail(now)
+	}
 	for _, id := range c.ids {
 		known.asked[id] = true
 	}
@@ -156,7 +161,7 @@
 	for id, text := range answer.Tickets {
 		known.tickets[id] = ticket{text: text, workerKey: t.latestKeys[id], validFor: answer.ValidFor, sentAt: c.sentAt, answeredAfter: answeredAfter}
 	}
-	t.log.Info("advice", zap.String("job", c.job.ID), zap.Int("step", c.step), zap.Int("asked", len(c.ids)),
+	t.log.Info("advice", zap.String("job", c.job.ID), zap.Int("step", c.step), zap.Int("asked", len(c.ids)), zap.Bool("renews", c.renews),
 		zap.Int("good", len(answer.Tickets)), zap.Duration("valid", answer.ValidFor), zap.Duration("took", now-c.sentAt), zap.Duration("expected", c.duration))
 	t.needsPlanning = true
 }
--- a/internal/engine/scheduler/place.go
+++ b/internal/engine/scheduler/place.go
@@ -446,6 +446,9 @@
 		t.metrics.waitTime.Update(time.Duration(t.WallClock().UnixMilli()-j.AcceptedMS) * time.Millisecond)
 	}
 	state.Started, state.Status = true, work.Running
+	if a := j.advice[q.step]; a != nil {
+		a.renewals = retry{}
+	}
 	t.log.Info("placed", zap.String("job", j.ID), zap.Int("step", q.step), zap.Int("tasks", len(tasks)),
 		zap.Int("cpu", step.Demand.CPU), zap.Int("accelerators", step.Demand.Accelerators),
 		zap.Bool("gang", step.Gang), zap.Bool("saves", step.SavesProgress),
--- a/internal/engine/slow_advice_test.go
+++ b/internal/engine/slow_advice_test.go
@@ -108,3 +108,27 @@
 		})
 	})
 }
+
+// TestWaitingStepsLeaveAdviceToOthers guards against steps that wait for room and renew their
+// tickets all the time, so that the calls for other steps have to wait.
+func TestWaitingStepsLeaveAdviceToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 24})
+		defer c.close()
+		c.setAdvice(manifest.Advice{Base: 500 * time.Millisecond, PerWorker: 40 * time.Millisecond, Validity: 2 * time.Second})
+		for id := 1; id <= 5; id++ { // the first one occupies the 12 workers that are allowed
+			serving := newAdvisedJob(id, 12, false)
+			serving.Steps[0].LongRunning = true
+			c.submit("advised", serving, standin.Behaviour{})
+			time.Sleep(5 * time.Second)
+		}
+		for id := 11; id <= 14; id++ {
+			j := newJob(id, work.Step{Tasks: 2, Demand: work.Resources{CPU: 1000, MemoryMB: 1000}, EstimateMS: 1000})
+			j.NeedsAdvice = true
+			c.submit("advised/batch", j, standin.Behaviour{Work: time.Second})
+		}
+		for id := 11; id <= 14; id++ {
+			c.awaitStatus(newJob(id).ID, work.Completed, 15*time.Second)
+		}
+	})
+}
