Keep freed room for a step until its tickets are renewed

Callers saw more work stopped for an urgent job at a queue with advice than it needs, again and again.

Cause: room that preemption frees is claimed for the time that stops take. If the step's tickets expired meanwhile and the call for new ones takes longer, others took the room, and more runs were stopped. Change: the claim lasts for the call as well, and the call is sent at once and names only the workers where room is freed.

--- a/internal/engine/scheduler/advice_calls.go
+++ b/internal/engine/scheduler/advice_calls.go
@@ -81,13 +81,23 @@
 	})
 }
 
-// adviceCandidates returns the workers without a usable ticket that a call should name. If the
-// tasks fit on workers that the step is known to be allowed on, these are enough. Otherwise they are
-// workers with room that are not known to be denied, and if there are none, workers that get room
-// later.
+// renewalTime returns how long it may take to renew the tickets for workers that are claimed for the
+// step, and lets the call be sent at once.
+func (t *term) renewalTime(q readyStep, claimed int, now time.Duration) time.Duration {
+	q.job.adviceFor(q.step).renewals = retry{}
+	return max(t.advice.busyUntil-now, 0) + t.adviceCalls(q.job).CallDuration(claimed)
+}
+
+// adviceCandidates returns the workers without a usable ticket that a call should name. If room is
+// being freed for the step, they are those where it is. If the tasks fit on workers that the step is
+// known to be allowed on, these are enough. Otherwise they are workers with room that are not known
+// to be denied, and if there are none, workers that get room later.
 func (t *term) adviceCandidates(s *plan.Snapshot, q readyStep, unplaced *plan.Request, calls manifest.Advice, now time.Duration) []*worker {
 	known, open, permitted := q.job.adviceFor(q.step), *unplaced, *unplaced
 	needsTicket := func(w *worker) bool { return !t.advice.isUsable(known.tickets[w.entry.ID], w, now) }
+	if claims := q.job.activeClaims(q.step, now); claims != nil {
+		return t.selectWorkers(func(w *worker) bool { return claims[w.key] > 0 && needsTicket(w) }, maxAdviceWorkers, s.Nodes)
+	}
 	permitted.Allowed, open.Allowed = t.workersPermitted(s, q), t.workersNotDenied(s, q)
 	if chosen, complete := s.Choose(&permitted); complete {
 		if list := t.selectWorkers(needsTicket, maxAdviceWorkers, chosen); len(list) > 0 {
--- a/internal/engine/scheduler/preempt.go
+++ b/internal/engine/scheduler/preempt.go
@@ -82,7 +82,11 @@
 	if preemption == nil || !t.stopsFor(q, preemption.Cost) {
 		return false
 	}
-	q.job.claims[q.step] = claim{expiresAt: now + t.bounds.StopTimeout + preemptRetrySlack, tasks: preemption.Claims}
+	keep := t.bounds.StopTimeout + preemptRetrySlack
+	if t.needsAdvice(q.job) {
+		keep += t.renewalTime(q, len(preemption.Claims), now)
+	}
+	q.job.claims[q.step] = claim{expiresAt: now + keep, tasks: preemption.Claims}
 	s.Claim(request, preemption.Claims)
 	t.quota.Promise(q.job.Organisation, q.claimedResources(now))
 	pool.set.Take(preemption)
--- a/internal/engine/slow_advice_test.go
+++ b/internal/engine/slow_advice_test.go
@@ -132,3 +132,34 @@
 		}
 	})
 }
+
+// TestUrgentStepKeepsRoomUntilAdvised guards against work that is stopped for an urgent step whose
+// tickets have expired by then, so that others take the room and more work is stopped.
+func TestUrgentStepKeepsRoomUntilAdvised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 24})
+		defer c.close()
+		c.setAdvice(manifest.Advice{Base: 1500 * time.Millisecond, PerWorker: 40 * time.Millisecond, Validity: 400 * time.Millisecond})
+		const batchJobs = 6
+		for id := 1; id <= batchJobs; id++ {
+			c.submit("batch", newJob(id, work.Step{Tasks: 8, Demand: largeTask, EstimateMS: 20_000}), standin.Behaviour{Work: 20 * time.Second})
+		}
+		time.Sleep(5 * time.Second)
+		urgent := newAdvisedJob(11, 6, false)
+		c.submit("advised/urgent", urgent, standin.Behaviour{Work: 2 * time.Second})
+		c.awaitStatus(urgent.ID, work.Completed, 20*time.Second)
+		stopped := 0
+		for id := 1; id <= batchJobs; id++ {
+			for index := range 8 {
+				for _, r := range c.fleet.Ledger().Runs(work.TaskName{Job: newJob(id).ID, Index: index}) {
+					if r.Ending == "stopped" {
+						stopped++
+					}
+				}
+			}
+		}
+		if stopped > 6 {
+			t.Errorf("%d runs are stopped for 6 tasks", stopped)
+		}
+	})
+}
