Try a ticket even if it seems to have expired on its arrival

Callers of a queue whose tickets are valid for about as long as a call takes saw accepted jobs that never started.

After a worker had refused one ticket, the validity of all later ones counted from the sending of the call. Where that left less than the margin on arrival, no ticket was used any more, whether or not the worker would have accepted it: valid 651 ms, call 472 ms, margin 325 ms. Change: a ticket that would be of no use from its arrival on is tried. Conclusion: one refusal, whatever its reason, no longer stops a queue.

--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -112,6 +112,9 @@
 	// organisation and no changes.
 	capRNG    *rand.Rand
 	manifests []*manifest.Manifest // that were published because of capRNG
+	// adviceRNG selects the jobs that need advice, which is slow, and its times; nil means that
+	// kindRNG selects the jobs and advice is quick.
+	adviceRNG *rand.Rand
 	jobs      []plannedJob
 	waveCount int
 	// checksStarvation makes awaitAll report jobs that have nothing running.
@@ -124,7 +127,7 @@
 }
 
 // dayKind is what a random day has or checks in addition.
-type dayKind struct{ taskCrashes, checksStarvation, caps, relays bool }
+type dayKind struct{ taskCrashes, checksStarvation, caps, relays, slowAdvice bool }
 
 func simulateDay(t *testing.T, seed uint64, kind dayKind) {
 	log := zap.NewNop()
@@ -144,6 +147,10 @@
 	if kind.taskCrashes {
 		d.crashRNG = rand.New(rand.NewPCG(seed, 7))
 	}
+	if kind.slowAdvice {
+		d.adviceRNG = rand.New(rand.NewPCG(seed, 17))
+		d.randomAdvice()
+	}
 	defer d.close()
 	if kind.caps {
 		d.capRNG = rand.New(rand.NewPCG(seed, 13))
@@ -165,6 +172,9 @@
 		if d.capRNG != nil && d.capRNG.IntN(6) == 0 {
 			d.changeCaps()
 		}
+		if d.adviceRNG != nil && d.adviceRNG.IntN(12) == 0 {
+			d.randomAdvice()
+		}
 	}
 	if d.capRNG != nil {
 		d.publishCaps(finalCapFactor)
@@ -309,6 +319,9 @@
 	case 3:
 		j.NeedsAdvice, queue = true, "advised"
 	}
+	if d.adviceRNG != nil && d.adviceRNG.IntN(4) == 0 {
+		j.NeedsAdvice, queue = true, "advised"
+	}
 	return j, queue
 }
 
--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -83,14 +83,19 @@
 	text      string
 	workerKey string
 	validFor  time.Duration
-	// sentAt is when the call was sent, and answeredAfter a lower bound of when it was answered.
-	sentAt, answeredAfter time.Duration
+	// sentAt is when the call was sent, answeredAfter a lower bound of when it was answered, and
+	// receivedAt when the answer arrived.
+	sentAt, answeredAfter, receivedAt time.Duration
 }
 
-// expiresAt returns the end of the ticket's validity.
+// margin returns the part of the ticket's validity that is kept for recording and sending the start.
+func (tk ticket) margin() time.Duration { return min(maxTicketMargin, tk.validFor/2) }
+
+// expiresAt returns the end of the ticket's validity. A ticket that would have been of no use from its
+// arrival on is tried all the same: the worker may have refused the other one for another reason.
 func (a *adviceState) expiresAt(tk ticket) time.Duration {
-	if a.countsFromCall {
-		return tk.sentAt + tk.validFor
+	if end := tk.sentAt + tk.validFor; a.countsFromCall && end-tk.margin() > tk.receivedAt {
+		return end
 	}
 	return tk.answeredAfter + tk.validFor
 }
@@ -102,7 +107,7 @@
 
 // isUsable reports whether the ticket is valid for long enough for a start that is planned now.
 func (a *adviceState) isUsable(tk ticket, w *worker, now time.Duration) bool {
-	return a.permits(tk, w, now+min(maxTicketMargin, tk.validFor/2))
+	return a.permits(tk, w, now+tk.margin())
 }
 
 // adviceFor returns the advice for a step, given its number over all occurrences.
--- a/internal/engine/scheduler/advice_calls.go
+++ b/internal/engine/scheduler/advice_calls.go
@@ -169,7 +169,7 @@
 	}
 	answeredAfter := min(c.sentAt+c.duration, now)
 	for id, text := range answer.Tickets {
-		known.tickets[id] = ticket{text: text, workerKey: t.latestKeys[id], validFor: answer.ValidFor, sentAt: c.sentAt, answeredAfter: answeredAfter}
+		known.tickets[id] = ticket{text: text, workerKey: t.latestKeys[id], validFor: answer.ValidFor, sentAt: c.sentAt, answeredAfter: answeredAfter, receivedAt: now}
 	}
 	t.log.Info("advice", zap.String("job", c.job.ID), zap.Int("step", c.step), zap.Int("asked", len(c.ids)), zap.Bool("renews", c.renews),
 		zap.Int("good", len(answer.Tickets)), zap.Duration("valid", answer.ValidFor), zap.Duration("took", now-c.sentAt), zap.Duration("expected", c.duration))
--- a/internal/engine/slow_advice_test.go
+++ b/internal/engine/slow_advice_test.go
@@ -163,3 +163,22 @@
 		}
 	})
 }
+
+// TestRefusedTicketLeavesLaterOnesUsable guards against tickets that are never used after a worker has
+// refused one: those of calls that take longer than the tickets are valid then counted as expired.
+func TestRefusedTicketLeavesLaterOnesUsable(t *testing.T) {
+	for _, validity := range []time.Duration{time.Second, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, clusterOptions{hosts: 2, workers: 8})
+			defer c.close()
+			c.setAdvice(manifest.Advice{Base: 1500 * time.Millisecond, PerWorker: 40 * time.Millisecond, Validity: time.Second})
+			c.advisor.SetCountsFromCall(true) // no ticket is valid when the answer arrives
+			j := newAdvisedJob(1, 2, false)
+			c.submit("advised", j, standin.Behaviour{Work: time.Second})
+			time.Sleep(5 * time.Second)
+			c.setAdvice(manifest.Advice{Base: 1500 * time.Millisecond, PerWorker: 40 * time.Millisecond, Validity: validity})
+			c.advisor.SetCountsFromCall(false)
+			c.awaitStatus(j.ID, work.Completed, 10*time.Second)
+		})
+	}
+}
