Wait for the lease of a worker whose entry is gone

Cause: the runs of a draining worker were ended when its entry was removed less than two heartbeats after its last update, since the platform removes an entry only after three heartbeats of silence. The store may carry a heartbeat out late: then the update is new, the silence that the platform counts is not, and the entry is removed right behind the update while the worker works on. Change: a removed entry ends no runs. Those of a worker that has left end with its lease, as those of any other lost worker do. Conclusion: only the worker itself, its next incarnation or the end of its lease ends a run.

--- a/internal/engine/scheduler/worker_list.go
+++ b/internal/engine/scheduler/worker_list.go
@@ -4,8 +4,6 @@
 	"maps"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
@@ -20,27 +18,21 @@
 	listReadWait = time.Second
 )
 
-// shutdownHeartbeats is the number of heartbeat intervals since an entry's last update
-// within which only the worker itself removes the entry. The platform removes the entry of
-// a silent worker after three.
-const shutdownHeartbeats = 2
-
-// workerList turns changes of the platform's list of workers into events of a term.
+// workerList turns changes of the platform's list of workers into events of a term. The removal of an
+// entry does not show whether the worker has left: the platform also removes that of a worker whose
+// heartbeats are lost or carried out late. The runs of a worker that has left end with its lease.
 type workerList struct {
 	t       *term
 	entries map[string]*workers.Entry
-	// writtenAfter is a lower bound of the time when an entry's latest record was
-	// written, by worker id.
+	// writtenAfter is an estimate of the earliest time when an entry's latest record was
+	// written, by worker id: records may be read or written late.
 	writtenAfter map[string]time.Duration
-	// renewed holds the ids of the workers whose entry was written since the list was loaded.
-	// For the others writtenAfter is an assumption, good enough to use them.
-	renewed map[string]bool
 	// appliedAt is when the last records were applied.
 	appliedAt time.Duration
 }
 
 func newWorkerList(t *term) *workerList {
-	return &workerList{t: t, entries: map[string]*workers.Entry{}, writtenAfter: map[string]time.Duration{}, renewed: map[string]bool{}, appliedAt: t.entriesWrittenAfter}
+	return &workerList{t: t, entries: map[string]*workers.Entry{}, writtenAfter: map[string]time.Duration{}, appliedAt: t.entriesWrittenAfter}
 }
 
 // maxEntryHeartbeats is the age of a worker's entry, in heartbeat intervals, up to which the
@@ -76,7 +68,7 @@
 // Reset implements replica.Sink.
 func (l *workerList) Reset(records []store.Record) {
 	entries, writtenAfter := l.entries, l.writtenAfter
-	l.entries, l.writtenAfter, l.renewed = map[string]*workers.Entry{}, map[string]time.Duration{}, map[string]bool{}
+	l.entries, l.writtenAfter = map[string]*workers.Entry{}, map[string]time.Duration{}
 	for _, r := range records {
 		if e := entries[r.Key]; e != nil {
 			l.entries[r.Key], l.writtenAfter[r.Key] = e, writtenAfter[r.Key]
@@ -86,24 +78,13 @@
 }
 
 // Apply implements replica.Sink.
-func (l *workerList) Apply(records []store.Record) {
-	for _, r := range records {
-		if len(r.Value) > 0 {
-			l.renewed[r.Key] = true
-		}
-	}
-	l.applyRecords(records)
-}
+func (l *workerList) Apply(records []store.Record) { l.applyRecords(records) }
 
 func (l *workerList) applyRecords(records []store.Record) {
-	now, before := l.t.Now(), l.appliedAt
-	l.appliedAt = now
-	var shutDown []string
+	before := l.appliedAt
+	l.appliedAt = l.t.Now()
 	for _, r := range records {
 		if len(r.Value) == 0 {
-			if e := l.entries[r.Key]; e != nil && l.removedByWorker(r.Key, now) {
-				shutDown = append(shutDown, e.Key())
-			}
 			delete(l.entries, r.Key)
 			continue
 		}
@@ -132,25 +113,5 @@
 				w.entryWrittenAfter = max(w.entryWrittenAfter, writtenAfter[e.ID])
 			}
 		}
-		for _, key := range shutDown {
-			t.handleShutdown(key)
-		}
 	})
 }
-
-// removedByWorker reports whether a draining worker has removed its own entry: the
-// entry's last update is too recent for the platform to have removed it. That is not known for an
-// entry that was loaded and not updated since.
-func (l *workerList) removedByWorker(id string, now time.Duration) bool {
-	return l.entries[id].Draining && l.renewed[id] && now-l.writtenAfter[id] < shutdownHeartbeats*l.t.bounds.WorkerHeartbeatInterval
-}
-
-// handleShutdown ends the runs of a worker that has shut down.
-func (t *term) handleShutdown(key string) {
-	w := t.workers[key]
-	if w == nil || w.dead {
-		return
-	}
-	t.log.Info("worker has shut down", zap.String("worker", key), zap.Int("runs", len(w.runs)))
-	t.markDead(w)
-}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -340,6 +340,14 @@
 	w.cutFromStore = cut
 }
 
+// DeliverLateHeartbeat writes the worker's entry as the store does with a heartbeat that it carries out
+// late: the platform still counts the worker as silent.
+func (w *Worker) DeliverLateHeartbeat() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.publishEntry()
+}
+
 // Crash terminates the worker and its runs at once. Its entry remains until three
 // heartbeats are missed.
 func (w *Worker) Crash() {
