Count late renewals by polls to a former incarnation

Callers may see a task that must run once start a second time while its first run goes on (TWICE).

Cause: a poll without an answer that is executed late, by the worker's next incarnation, extends the lease of the runs that were started there since. The end of the lease is a time on the worker's clock, which begins anew, so it lies far ahead and the worker shortens it to the longest lease from then on. The scheduler counted with the end that it had granted itself. Change: the runs of an incarnation that has replaced another one in this term count as lapsed only when late polls to the former one can have extended no lease. Shown with the stand-in only. Conclusion: the wait for a lease covers each order that can have extended it in this term.

--- a/internal/engine/late_polls_test.go
+++ b/internal/engine/late_polls_test.go
@@ -34,3 +34,29 @@
 		c.awaitStatus(second.ID, work.Completed, time.Minute)
 	})
 }
+
+// TestLateRenewalAfterRestart guards against a task that is started again while it runs, because a poll
+// without an answer was executed late, by the worker's next incarnation: it extended the lease of the
+// new runs beyond what the scheduler had granted them.
+func TestLateRenewalAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, clusterOptions{hosts: 2, workers: 1})
+		defer c.close()
+		const worker = "w00"
+		time.Sleep(30 * time.Second) // the lease of the former incarnation ends late on the clock of the next one
+		first := newJob(1, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 10_000})
+		c.submit("normal", first, standin.Behaviour{Work: 10 * time.Second})
+		c.fleet.DelayPolls(1, 9*time.Second, func(o workers.PollRequest) bool { return o.LeaseUntilMS > 0 })
+		time.Sleep(100 * time.Millisecond)
+		c.workers[0].Restart()
+		time.Sleep(4 * time.Second)
+		second := newJob(2, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 12_000})
+		c.submit("normal", second, standin.Behaviour{Work: 12 * time.Second})
+		time.Sleep(1500 * time.Millisecond)
+		c.fleet.AddWorker(newWorkerEntry(1))
+		c.fleet.SetUnreachable("", worker, true)
+		time.Sleep(20 * time.Second)
+		c.fleet.SetUnreachable("", worker, false)
+		c.awaitStatus(second.ID, work.Completed, time.Minute)
+	})
+}
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -91,7 +91,7 @@
 		return
 	}
 	switch {
-	case now < w.lateStartsUntil, (!w.reached || w.leaseUntilMS == 0) && now < t.formerLeasesEnd:
+	case now < w.lateStartsUntil, now < w.lateRenewalsUntil, (!w.reached || w.leaseUntilMS == 0) && now < t.formerLeasesEnd:
 		return
 	case w.reached && (w.missedPolls == 0 || w.earliestClockMS(now) <= w.leaseUntilMS+lapseSlack.Milliseconds()):
 		return
