Wait for the runs of an unlisted worker before its machine's upkeep

Operators may see an upkeep end tasks that serve while others of their step are away (AVAIL).

A machine is taken for empty if its worker is not known by the list. A new owner that finds the worker's entry missing, since the worker is cut off from the store, knows it only by its recorded runs, and ordered the upkeep at once. Change: such a worker is found by its incarnations. Its runs end with their lease, or the worker is listed again, before the order. Conclusion: an upkeep is ordered only for a machine without known runs.

--- a/internal/engine/scheduler/upkeep.go
+++ b/internal/engine/scheduler/upkeep.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
 	"github.com/daisyfold/daisyfold/internal/engine/store"
+	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 )
 
@@ -201,8 +202,20 @@
 	return names
 }
 
-// workerOf returns the latest known worker on the machine, or nil.
-func (t *term) workerOf(m workers.Machine) *worker { return t.workers[t.latestKeys[m.WorkerID]] }
+// workerOf returns the latest known worker on the machine, or nil. A worker that the list does not
+// contain is known by the runs that a former owner has recorded for it.
+func (t *term) workerOf(m workers.Machine) *worker {
+	if w := t.workers[t.latestKeys[m.WorkerID]]; w != nil {
+		return w
+	}
+	var latest *worker
+	for _, key := range t.incarnations[m.WorkerID] {
+		if w := t.workers[key]; latest == nil || work.WorkerStartMS(key) > work.WorkerStartMS(latest.key) {
+			latest = w
+		}
+	}
+	return latest
+}
 
 // drainMachine keeps new runs from a machine, and stops its runs once they have had their
 // time to end by themselves. When no runs are left, it orders the upkeep.
