Expect late polls after each end of a worker's incarnation

Callers may see a task that must run once run again after it was done (TWICE).

What late polls may do to the next incarnation was only noted when that one answered and found the former one in use. After an upkeep the former one is known to have ended before. Change: it is noted for the worker's id whenever an incarnation is known to have ended. Tests: TestRandomDaysWithLateCalls plays drains, restarts and takeovers while heartbeats and polls are executed late.

--- a/internal/engine/late_polls_test.go
+++ b/internal/engine/late_polls_test.go
@@ -1,10 +1,13 @@
 package engine_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/daisyfold/daisyfold/internal/engine/replica"
+	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/standin"
@@ -14,6 +17,21 @@
 // because a poll without an answer was executed late, by the worker's next incarnation: it acknowledged
 // ends of the former one, whose numbers the new ones have again, so that they were never seen.
 func TestLateAcknowledgementAfterRestart(t *testing.T) {
+	t.Run("crash", func(t *testing.T) {
+		testLateAcknowledgement(t, func(c *cluster) { c.workers[0].Restart() })
+	})
+	t.Run("upkeep", func(t *testing.T) {
+		testLateAcknowledgement(t, func(c *cluster) {
+			value, err := json.Marshal(replica.Wave{Number: 7, Machines: []string{"w00"}, TimeLimit: 5 * time.Second, MaxDown: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.store.Put(operatorTopic, store.Record{Key: "wave/7", Value: value})
+		})
+	})
+}
+
+func testLateAcknowledgement(t *testing.T, restart func(*cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, clusterOptions{hosts: 2, workers: 1})
 		defer c.close()
@@ -23,7 +41,7 @@
 		c.submit("normal", first, standin.Behaviour{Work: 500 * time.Millisecond})
 		c.awaitStatus(first.ID, work.Completed, 5*time.Second)
 		time.Sleep(100 * time.Millisecond)
-		c.workers[0].Restart()
+		restart(c)
 		time.Sleep(4 * time.Second)
 		second := newJob(2, work.Step{Tasks: 1, Demand: smallTask, EstimateMS: 2500})
 		c.submit("normal", second, standin.Behaviour{Work: 2500 * time.Millisecond})
--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -117,6 +117,9 @@
 	adviceRNG *rand.Rand
 	jobs      []plannedJob
 	waveCount int
+	// lateRNG selects drains, restarts and takeovers while heartbeats and polls are executed late; nil
+	// means none.
+	lateRNG *rand.Rand
 	// checksStarvation makes awaitAll report jobs that have nothing running.
 	checksStarvation bool
 }
@@ -127,7 +130,7 @@
 }
 
 // dayKind is what a random day has or checks in addition.
-type dayKind struct{ taskCrashes, checksStarvation, caps, relays, slowAdvice bool }
+type dayKind struct{ taskCrashes, checksStarvation, caps, relays, slowAdvice, lateCalls bool }
 
 func simulateDay(t *testing.T, seed uint64, kind dayKind) {
 	log := zap.NewNop()
@@ -151,6 +154,9 @@
 		d.adviceRNG = rand.New(rand.NewPCG(seed, 17))
 		d.randomAdvice()
 	}
+	if kind.lateCalls {
+		d.lateRNG = rand.New(rand.NewPCG(seed, 19))
+	}
 	defer d.close()
 	if kind.caps {
 		d.capRNG = rand.New(rand.NewPCG(seed, 13))
@@ -172,6 +178,9 @@
 		if d.capRNG != nil && d.capRNG.IntN(6) == 0 {
 			d.changeCaps()
 		}
+		if d.lateRNG != nil && d.lateRNG.IntN(2) == 0 {
+			d.randomLateCall()
+		}
 		if d.adviceRNG != nil && d.adviceRNG.IntN(12) == 0 {
 			d.randomAdvice()
 		}
@@ -200,6 +209,7 @@
 			switch {
 			case !s.Ended():
 				open = append(open, j)
+			case s == work.Failed && d.lateRNG != nil && d.crashedTwice(j.Job):
 			case s != j.want && j.want != work.Cancelled:
 				d.t.Errorf("job %s ended as %c, want %c", j.ID, s, j.want)
 			}
--- a/internal/engine/scheduler/incarnations.go
+++ b/internal/engine/scheduler/incarnations.go
@@ -157,7 +157,6 @@
 		t.handleCrash(w)
 	}
 	t.log.Info("worker started again", zap.String("worker", olderKey), zap.String("as", successor.key), zap.Int("runs", len(w.runs)))
-	t.expectLatePolls(w, successor)
 	for _, r := range w.sortedRuns() {
 		if r.phase == runPlanned || (r.reported && !r.startUnanswered && r.phase != runStartSent) {
 			continue
@@ -180,6 +179,7 @@
 		t.handleCrash(w)
 	}
 	w.dead, w.listed = true, false
+	t.expectLatePolls(w)
 	for _, r := range w.sortedRuns() {
 		t.endRun(r, ending, "")
 	}
--- a/internal/engine/scheduler/poll.go
+++ b/internal/engine/scheduler/poll.go
@@ -91,7 +91,7 @@
 		return
 	}
 	switch {
-	case now < w.lateStartsUntil, now < w.lateRenewalsUntil, (!w.reached || w.leaseUntilMS == 0) && now < t.formerLeasesEnd:
+	case now < w.lateStartsUntil, now < t.latePolls[work.WorkerID(w.key)].renewalsUntil, (!w.reached || w.leaseUntilMS == 0) && now < t.formerLeasesEnd:
 		return
 	case w.reached && (w.missedPolls == 0 || w.earliestClockMS(now) <= w.leaseUntilMS+lapseSlack.Milliseconds()):
 		return
@@ -245,5 +245,5 @@
 // usable reports whether the worker may get new runs.
 func (t *term) usable(w *worker, now time.Duration) bool {
 	return w.listed && !w.dead && w.reached && w.missedPolls == 0 && !w.entry.Draining && !w.inUpkeep && t.hasCurrentEntry(w, now) &&
-		!t.zonesOut[w.entry.Zone] && now >= w.backoffUntil && now >= w.lateAcksUntil && now-w.answeredAt < maxAnswerAge
+		!t.zonesOut[w.entry.Zone] && now >= w.backoffUntil && now >= t.latePolls[w.entry.ID].acksUntil && now-w.answeredAt < maxAnswerAge
 }
--- a/internal/engine/scheduler/state.go
+++ b/internal/engine/scheduler/state.go
@@ -198,10 +198,6 @@
 	// ackSentAt is when a poll that is in flight and acknowledges ends was sent, and unansweredAckAt
 	// when the last such poll without an answer was; 0 if there is none.
 	ackSentAt, unansweredAckAt time.Duration
-	// lateAcksUntil and lateRenewalsUntil are the times until which polls that were sent to earlier
-	// incarnations may acknowledge ends of this one, and may have extended its lease beyond
-	// leaseUntilMS.
-	lateAcksUntil, lateRenewalsUntil time.Duration
 	// stoppingRuns counts the runs that are to be stopped.
 	stoppingRuns int
 	// bestEffort and latencySensitive are the runs of the two kinds, which share the worker only
--- a/internal/engine/scheduler/term.go
+++ b/internal/engine/scheduler/term.go
@@ -58,6 +58,8 @@
 	latestKeys map[string]string
 	// incarnations holds the keys of all known incarnations of a worker by its id.
 	incarnations map[string][]string
+	// latePolls is what late polls may do to the current incarnations of workers, by worker id.
+	latePolls map[string]latePolls
 	// underusedSince is since when less than reservationMinUsedFraction of a service has been in
 	// use, by service; only services with waiting steps are in it.
 	underusedSince map[string]time.Duration
@@ -107,7 +109,7 @@
 		log:    s.Logger.With(zap.Int64("epoch", epoch)),
 		events: make(chan event, eventQueueSize), jobs: map[string]*job{},
 		workers: map[string]*worker{}, latestKeys: map[string]string{}, marked: map[*worker]bool{},
-		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), advice: adviceState{queues: map[string]queueAdvice{}}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{},
+		firstPolls: firstPolls{inFlight: inFlight[*worker]{}}, startQueue: startQueue{inFlight: inFlight[*run]{}}, stopsInFlight: inFlight[*run]{}, suspects: map[*job]bool{}, quota: quota.NewLedger(), caps: newCapState(), advice: adviceState{queues: map[string]queueAdvice{}}, underusedSince: map[string]time.Duration{}, incarnations: map[string][]string{}, latePolls: map[string]latePolls{},
 	}
 	t.runWriter.topic = replica.TopicRuns
 	t.publisher = newPublisher()
@@ -201,6 +203,7 @@
 	if now-t.checkedAt >= tickInterval {
 		t.checkedAt = now
 		t.checkWorkers(now)
+		t.forgetLatePolls(now)
 		t.checkIsolation(now)
 		t.forgetExpiredJobs()
 		t.checkWaves(now)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -365,17 +365,23 @@
 func (w *Worker) Crash() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	w.terminate()
+	w.terminate(EndingCrashed)
 }
 
+// Endings of runs that end with their worker, which nobody lists.
+const (
+	EndingCrashed = "gone"
+	EndingLeft    = "left"
+)
+
 // terminate ends the incarnation and its runs. The caller holds the lock.
-func (w *Worker) terminate() {
+func (w *Worker) terminate(ending string) {
 	if !w.up {
 		return
 	}
 	w.up = false
 	for _, r := range w.runs {
-		w.removeRun(r, "gone")
+		w.removeRun(r, ending)
 	}
 	w.notifyChanged()
 }
@@ -405,7 +411,7 @@
 func (w *Worker) crashNow(r *activeRun) {
 	f := w.fleet
 	w.removeRun(r, endingCrashedWorker)
-	w.terminate()
+	w.terminate(EndingCrashed)
 	time.AfterFunc(taskCrashDownTime, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -429,7 +435,7 @@
 func (w *Worker) Restart() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	w.terminate()
+	w.terminate(EndingCrashed)
 	w.startIncarnation()
 }
 
@@ -443,7 +449,7 @@
 	time.AfterFunc(delay, func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
-		w.terminate()
+		w.terminate(EndingLeft)
 		w.fleet.store.Put(TopicWorkers, store.Record{Key: w.entry.ID})
 	})
 }
@@ -463,7 +469,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.workers {
-		w.terminate()
+		w.terminate(EndingCrashed)
 		w.closed = -1
 		if w.leaseTimer != nil {
 			w.leaseTimer.Stop()
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -102,7 +102,7 @@
 	for _, r := range w.runs {
 		m.fleet.ledger.recordStop(r)
 	}
-	w.terminate()
+	w.terminate(EndingLeft)
 	time.AfterFunc(upkeepDuration, func() {
 		m.fleet.mu.Lock()
 		defer m.fleet.mu.Unlock()
