Publish upkeep waves of tests in one place

Cause: four tests encoded and published a wave each. Change: cluster.requestUpkeep does it. Measured: go vet; the tests of upkeep and late calls pass.

--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -191,6 +191,15 @@
 	c.store.Put(operatorTopic, store.Record{Key: "config", Value: data})
 }
 
+// requestUpkeep publishes the request for an upkeep wave.
+func (c *cluster) requestUpkeep(wave replica.Wave) {
+	value, err := json.Marshal(wave)
+	if err != nil {
+		c.t.Error(err)
+	}
+	c.store.Put(operatorTopic, store.Record{Key: fmt.Sprintf("wave/%d", wave.Number), Value: value})
+}
+
 func decodeOperator(r store.Record) (replica.OperatorChange, error) {
 	if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
 		return replica.OperatorChange{Zone: zone, ZoneOut: len(r.Value) > 0}, nil
--- a/internal/engine/job_kinds_test.go
+++ b/internal/engine/job_kinds_test.go
@@ -1,14 +1,12 @@
 package engine_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
-	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/standin"
@@ -230,13 +228,9 @@
 	time.Sleep(2 * time.Second)
 	const timeLimit = 40 * time.Second
 	wave := replica.Wave{Number: 7, Machines: []string{"w00", "w01", "w02", "w03", "w99"}, TimeLimit: timeLimit, MaxDown: maxDownPerWave}
-	value, err := json.Marshal(wave)
-	if err != nil {
-		t.Fatal(err)
-	}
 	c.machines.Unanswered = 1
 	began := time.Now()
-	c.store.Put(operatorTopic, store.Record{Key: "wave/7", Value: value})
+	c.requestUpkeep(wave)
 	time.Sleep(6 * time.Second)
 	c.crash(c.owner().name)
 	for {
--- a/internal/engine/late_polls_test.go
+++ b/internal/engine/late_polls_test.go
@@ -1,13 +1,11 @@
 package engine_test
 
 import (
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
-	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/engine/workers"
 	"github.com/daisyfold/daisyfold/internal/standin"
@@ -22,11 +20,7 @@
 	})
 	t.Run("upkeep", func(t *testing.T) {
 		testLateAcknowledgement(t, func(c *cluster) {
-			value, err := json.Marshal(replica.Wave{Number: 7, Machines: []string{"w00"}, TimeLimit: 5 * time.Second, MaxDown: 1})
-			if err != nil {
-				t.Fatal(err)
-			}
-			c.store.Put(operatorTopic, store.Record{Key: "wave/7", Value: value})
+			c.requestUpkeep(replica.Wave{Number: 7, Machines: []string{"w00"}, TimeLimit: 5 * time.Second, MaxDown: 1})
 		})
 	})
 }
--- a/internal/engine/random_test.go
+++ b/internal/engine/random_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
@@ -16,7 +15,6 @@
 
 	"github.com/daisyfold/daisyfold/internal/engine/manifest"
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
-	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
@@ -357,11 +355,7 @@
 		for i := range 4 {
 			wave.Machines = append(wave.Machines, fmt.Sprintf("w%02d", first+i))
 		}
-		value, err := json.Marshal(wave)
-		if err != nil {
-			d.t.Error(err)
-		}
-		d.store.Put(operatorTopic, store.Record{Key: fmt.Sprintf("wave/%d", d.waveCount), Value: value})
+		d.requestUpkeep(wave)
 	}
 }
 
--- a/internal/engine/unlisted_upkeep_test.go
+++ b/internal/engine/unlisted_upkeep_test.go
@@ -1,13 +1,11 @@
 package engine_test
 
 import (
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/daisyfold/daisyfold/internal/engine/replica"
-	"github.com/daisyfold/daisyfold/internal/engine/store"
 	"github.com/daisyfold/daisyfold/internal/engine/work"
 	"github.com/daisyfold/daisyfold/internal/standin"
 )
@@ -25,12 +23,8 @@
 		c.workers[0].SetCutFromStore(true)
 		time.Sleep(4 * heartbeatInterval)
 		wave := replica.Wave{Number: 7, Machines: []string{"w00"}, TimeLimit: 40 * time.Second, MaxDown: maxDownPerWave}
-		value, err := json.Marshal(wave)
-		if err != nil {
-			t.Fatal(err)
-		}
 		c.crash(c.owner().name)
-		c.store.Put(operatorTopic, store.Record{Key: "wave/7", Value: value})
+		c.requestUpkeep(wave)
 		time.Sleep(6 * time.Second)
 		c.workers[0].SetCutFromStore(false)
 		time.Sleep(40 * time.Second)
