Ask for advice again once all claimed room is taken

Cause: read in the review of this change: a claim whose room is all taken by placed tasks, while others of the step wait, kept the step from asking about other workers until it expired. And jobs of a queue that a manifest gives advice without an advice service in the settings wait without a word in the log. Change: only claims that still keep room restrict the call; a warning names such a queue.

--- a/internal/engine/scheduler/advice.go
+++ b/internal/engine/scheduler/advice.go
@@ -45,6 +45,9 @@
 	t.advice.manifest = m
 	for _, q := range m.Queues {
 		t.advice.queues[q.ID()] = queueAdvice{needed: q.NeedsAdvice, advice: q.Advice}
+		if q.NeedsAdvice && t.Advisor == nil {
+			t.log.Warn("a queue needs advice, and the settings name no advice service; its jobs wait", zap.String("queue", q.ID()), zap.Int64("manifest", m.Version))
+		}
 	}
 }
 
--- a/internal/engine/scheduler/advice_calls.go
+++ b/internal/engine/scheduler/advice_calls.go
@@ -95,7 +95,7 @@
 func (t *term) adviceCandidates(s *plan.Snapshot, q readyStep, unplaced *plan.Request, calls manifest.Advice, now time.Duration) []*worker {
 	known, open, permitted := q.job.adviceFor(q.step), *unplaced, *unplaced
 	needsTicket := func(w *worker) bool { return !t.advice.isUsable(known.tickets[w.entry.ID], w, now) }
-	if claims := q.job.activeClaims(q.step, now); claims != nil {
+	if claims := q.job.activeClaims(q.step, now); len(claims) > 0 {
 		return t.selectWorkers(func(w *worker) bool { return claims[w.key] > 0 && needsTicket(w) }, maxAdviceWorkers, s.Nodes)
 	}
 	permitted.Allowed, open.Allowed = t.workersPermitted(s, q), t.workersNotDenied(s, q)
