Let callers of the soak drop connections to a process that has ended

A caller keeps a connection for 8 s after its last use and does not notice that the other end has gone; a kill excuses calls for 4 s only. Change: a connection is used until the process at its other end has ended, as the soak is meant to. Calls on connections to the current process are judged as before.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -27,6 +27,18 @@
 	net.Conn
 	reader   *bufio.Reader
 	lastUsed time.Time
+	// ended is closed once the process at the other end has ended.
+	ended <-chan struct{}
+}
+
+// isUsable reports whether a host may be expected to answer on the connection.
+func (c *connection) isUsable() bool {
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return time.Since(c.lastUsed) <= maxIdleTime
+	}
 }
 
 func newClient() *client { return &client{connections: map[*process]*connection{}} }
@@ -51,17 +63,18 @@
 func (c *client) call(p *process, method, path, key string, body []byte) answer {
 	a := answer{sent: time.Now()}
 	conn := c.connections[p]
-	if conn != nil && time.Since(conn.lastUsed) > maxIdleTime {
+	if conn != nil && !conn.isUsable() {
 		_ = conn.Close()
 		conn = nil
 	}
 	if conn == nil {
+		ended := p.ended() // of the process that the host has before the connection is made
 		dialed, err := net.DialTimeout("tcp", p.frontAddress(), time.Second)
 		if err != nil {
 			a.err, a.done = err, time.Now()
 			return a
 		}
-		conn = &connection{Conn: dialed, reader: bufio.NewReader(dialed)}
+		conn = &connection{Conn: dialed, reader: bufio.NewReader(dialed), ended: ended}
 	}
 	delete(c.connections, p)
 	var keep bool
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -283,6 +283,13 @@
 	return cmp.Or(p.front, fmt.Sprintf("%s:%d", p.ip, frontPort))
 }
 
+// ended returns a channel that is closed once the host's current process has ended.
+func (p *process) ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
 // signal sends a signal to the process, if it is running, and returns a channel that is
 // closed when the process has ended.
 func (p *process) signal(s syscall.Signal) chan struct{} {
